--- /dev/null
+++ b/cmake/cumin.cmake
@@ -0,0 +1,52 @@
+# cumin_module(NAME LIBS ...) - a library from every source file of modules/NAME.
+function(cumin_module name)
+  cmake_parse_arguments(ARG "" "" "LIBS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/modules/${name}/*.cc)
+  if(sources)
+    add_library(${name} STATIC ${sources})
+    target_include_directories(${name} PUBLIC ${CMAKE_SOURCE_DIR}/modules)
+    target_link_libraries(${name} PUBLIC ${ARG_LIBS} Threads::Threads)
+  else()
+    add_library(${name} INTERFACE)
+    target_include_directories(${name} INTERFACE ${CMAKE_SOURCE_DIR}/modules)
+    target_link_libraries(${name} INTERFACE ${ARG_LIBS} Threads::Threads)
+  endif()
+endfunction()
+
+# cumin_program(NAME LIBS ...) - an executable from every source file of
+# programs/NAME.
+function(cumin_program name)
+  cmake_parse_arguments(ARG "" "" "LIBS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/programs/${name}/*.cc)
+  if(sources)
+    add_executable(${name} ${sources})
+    target_link_libraries(${name} PRIVATE ${ARG_LIBS})
+  endif()
+endfunction()
+
+# cumin_standin(NAME LIBS ...) - a stand-in for an outside system, from every
+# source file of tests/standins/NAME.
+function(cumin_standin name)
+  cmake_parse_arguments(ARG "" "" "LIBS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS
+       ${CMAKE_SOURCE_DIR}/tests/standins/${name}/*.cc)
+  if(sources)
+    add_executable(${name} ${sources})
+    target_link_libraries(${name} PRIVATE ${ARG_LIBS})
+  endif()
+endfunction()
+
+# cumin_test(NAME LIBS ...) - a test program from tests/NAME/*.cc and the shared
+# main of tests/support. Properties run with the fixed seed that main prints.
+function(cumin_test name)
+  cmake_parse_arguments(ARG "" "" "LIBS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cc)
+  if(sources)
+    add_executable(${name}_test ${sources}
+                   ${CMAKE_SOURCE_DIR}/tests/support/test_main.cc)
+    target_include_directories(${name}_test PRIVATE ${CMAKE_SOURCE_DIR}/tests)
+    target_link_libraries(${name}_test PRIVATE ${ARG_LIBS} cppunit rapidcheck)
+    add_test(NAME ${name} COMMAND ${name}_test)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 600)
+  endif()
+endfunction()
--- /dev/null
+++ b/modules/cumin_core/json_text.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <json/json.h>
+
+#include <string>
+
+#include "cumin_core/error.h"
+
+namespace cumin {
+
+/** @returns the value on one line, without spaces */
+std::string ToJsonText(const Json::Value& value);
+
+/** Parses a JSON text, strictly and with a bounded depth.
+    @param text    the text
+    @param source  the file, key or peer to name in errors
+    @returns the value, or ErrorCode::kInvalid */
+Result<Json::Value> ParseJson(const std::string& text,
+                              const std::string& source);
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_core/logging.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/trivial.hpp>
+#include <string>
+
+#include "cumin_core/error.h"
+
+namespace cumin {
+
+/** Sets up Boost.Log to write one JSON object a line to standard error.
+
+    Lines are for changes of state; what happens for each call is counted
+    instead.
+
+    @param program  the program's name, written into each line
+    @param vm       the VM's name, written into each line; may be empty
+    @param level    "debug", "info", "warning" or "error"
+    @returns an error for another level */
+Result<void> StartLogging(const std::string& program, const std::string& vm,
+                          const std::string& level);
+
+}  // namespace cumin
+
+/** Writes one line: CUMIN_LOG(info) << "configuration version 7 in force"; */
+#define CUMIN_LOG(level) BOOST_LOG_TRIVIAL(level)
