Configuration versions: bundles, deltas, acceptance by compare-and-swap, forward-only gate

Acceptance is a plan without I/O: parts are written before the head that names them, the replaced head is copied into the history first, and a swap whose answer is lost is resolved by looking for the change id in the head and the history. A delta carries changed parts only; the receiver derives the manifest and checks its digest, so that its size does not grow with the customers.

Ruled out: the whole manifest in each delta (with 200 customers it would be some 20 KB for a change of one contract; the test holds a delta under 1 KB).

--- /dev/null
+++ b/modules/cumin_config/config_store_reader.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "cumin_config/config_bundle.h"
+#include "cumin_core/error.h"
+#include "cumin_store/store.h"
+
+namespace cumin {
+
+/** Reads configuration versions from the store. */
+class ConfigStoreReader {
+ public:
+  /** @param store  outlives this object */
+  explicit ConfigStoreReader(Store& store) : store_(store) {}
+
+  /** @returns the newest version's record, or nothing when no configuration
+      has been accepted yet */
+  Result<std::optional<HeadRecord>> ReadHead();
+
+  /** @param version  from 1 to the newest
+      @returns that version's record, or ErrorCode::kNotFound */
+  Result<HeadRecord> ReadVersion(std::uint64_t version);
+
+  /** Reads the parts that a record names.
+      @param head   the version to read
+      @param known  a bundle whose parts need not be read again, or null
+      @returns the bundle, with every digest checked */
+  Result<ConfigBundle> ReadBundle(const HeadRecord& head,
+                                  const ConfigBundle* known);
+
+  /** @param limit  the most records to read
+      @returns the newest records, newest first */
+  Result<std::vector<ConfigVersionRecord>> ReadNewest(std::size_t limit);
+
+ private:
+  Result<std::string> ReadPart(const ManifestEntry& entry,
+                               const ConfigBundle* known);
+
+  Store& store_;
+};
+
+}  // namespace cumin
--- a/modules/cumin_config/cumin_config.h
+++ b/modules/cumin_config/cumin_config.h
@@ -3,12 +3,29 @@
 /** @file
     cumin_config: contracts, configuration versions and their way into force.
 
-    Values (Mesh, Contract, Configuration, ConfigSnapshot) and decisions
-    (validation, acceptance, forward-only swap, delta, readback) without I/O.
+    Values (Mesh, Contract, HeadRecord, ConfigBundle, ConfigDelta,
+    ConfigSnapshot) and decisions (validation, acceptance, forward-only swap,
+    readiness, readback) without I/O. ConfigAcceptor and ConfigStoreReader
+    carry them out over the abstract Store.
 
     Depends on: cumin_core, cumin_store (the Store interface only).
 */
 
+#include "cumin_config/acceptance_outcome.h"
+#include "cumin_config/acceptance_plan.h"
+#include "cumin_config/change_request.h"
+#include "cumin_config/config_acceptor.h"
+#include "cumin_config/config_bundle.h"
+#include "cumin_config/config_delta.h"
+#include "cumin_config/config_history.h"
+#include "cumin_config/config_keys.h"
 #include "cumin_config/config_snapshot.h"
+#include "cumin_config/config_store_reader.h"
+#include "cumin_config/config_version_record.h"
 #include "cumin_config/contract.h"
+#include "cumin_config/head_record.h"
 #include "cumin_config/mesh.h"
+#include "cumin_config/readiness_rule.h"
+#include "cumin_config/recent_deltas.h"
+#include "cumin_config/version_gate.h"
+#include "cumin_config/wall_time_text.h"
--- a/modules/cumin_core/cumin_core.h
+++ b/modules/cumin_core/cumin_core.h
@@ -14,6 +14,7 @@
 #include "cumin_core/endpoint.h"
 #include "cumin_core/error.h"
 #include "cumin_core/identifier.h"
+#include "cumin_core/json_object.h"
 #include "cumin_core/json_text.h"
 #include "cumin_core/logging.h"
 #include "cumin_core/metrics.h"
