--- /dev/null
+++ b/modules/cumin_rpc/http_message.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace cumin {
+
+/** One HTTP header field. */
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
+/** The header fields of one message, in order. */
+class HttpHeaders {
+ public:
+  /** @returns the first value of the name, compared without case, or "" */
+  std::string Get(const std::string& name) const;
+
+  /** @returns true when the name is present */
+  bool Has(const std::string& name) const;
+
+  /** Replaces every value of the name by one. */
+  void Set(const std::string& name, const std::string& value);
+
+  const std::vector<HttpHeader>& all() const { return fields_; }
+
+ private:
+  std::vector<HttpHeader> fields_;
+};
+
+/** A request; `path` is without the query. */
+struct HttpRequest {
+  std::string method = "GET";
+  std::string path = "/";
+  /** The part after '?', percent-encoded; may be empty. */
+  std::string query;
+  HttpHeaders headers;
+  std::string body;
+};
+
+/** A whole response. */
+struct HttpResponse {
+  int status = 200;
+  HttpHeaders headers;
+  std::string body;
+};
+
+}  // namespace cumin
