--- a/cmake/cumin.cmake
+++ b/cmake/cumin.cmake
@@ -24,15 +24,20 @@
   endif()
 endfunction()
 
-# cumin_standin(NAME LIBS ...) - a stand-in for an outside system, from every
-# source file of tests/standins/NAME.
+# cumin_standin(NAME LIBS ...) - a stand-in for an outside system: a library
+# NAME_core from the source files of tests/standins/NAME, which tests may link,
+# and an executable from its main.cc.
 function(cumin_standin name)
   cmake_parse_arguments(ARG "" "" "LIBS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS
-       ${CMAKE_SOURCE_DIR}/tests/standins/${name}/*.cc)
+  set(folder ${CMAKE_SOURCE_DIR}/tests/standins/${name})
+  file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cc)
+  list(REMOVE_ITEM sources ${folder}/main.cc)
   if(sources)
-    add_executable(${name} ${sources})
-    target_link_libraries(${name} PRIVATE ${ARG_LIBS})
+    add_library(${name}_core STATIC ${sources})
+    target_include_directories(${name}_core PUBLIC ${CMAKE_SOURCE_DIR}/tests)
+    target_link_libraries(${name}_core PUBLIC ${ARG_LIBS})
+    add_executable(${name} ${folder}/main.cc)
+    target_link_libraries(${name} PRIVATE ${name}_core)
   endif()
 endfunction()
 
--- a/modules/cumin_store/cumin_store.h
+++ b/modules/cumin_store/cumin_store.h
@@ -9,4 +9,7 @@
     Depends on: cumin_core, cumin_rpc (HTTP client).
 */
 
+#include "cumin_store/http_store.h"
+#include "cumin_store/metered_store.h"
 #include "cumin_store/store.h"
+#include "cumin_store/store_backoff.h"
