--- a/tests/standins/target_standin/target_standin.cc
+++ b/tests/standins/target_standin/target_standin.cc
@@ -14,7 +14,7 @@
 constexpr char kTargetPath[] = "/-/target/";
 constexpr int kCrashStatus = 70;
 constexpr std::size_t kMaxLoadSamples = 100000;
-constexpr std::size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = std::size_t{64} * 1024 * 1024;
 
 HttpResponse MakeAnswer(int status, const std::string& body) {
   HttpResponse response;
@@ -73,7 +73,7 @@
   const MonoTime ready_at = started_at_ + options_.cold_start;
   const MonoTime now = clock_.Now();
   const Duration wait =
-      ready_at > now ? std::min(limit, Duration(ready_at - now)) : limit;
+      ready_at > now ? std::min<Duration>(limit, ready_at - now) : limit;
   changed_.wait_for(lock, wait, [&] { return StateLocked() != state; });
 }
 
