Fleet decisions: membership, failure detection, spread, repair and gather

Cause: the product's promise is one version in force everywhere within seconds, and the daemons have no list of each other.

Found by the tests: a restarted daemon that peers held alive at a higher incarnation was never told; the incarnation at which a peer knows us now rides on each message.

--- a/modules/cumin_fleet/member.h
+++ b/modules/cumin_fleet/member.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <ostream>
 
 #include "cumin_core/endpoint.h"
+#include "cumin_core/error.h"
 #include "cumin_core/identifier.h"
 
 namespace cumin {
@@ -66,4 +69,34 @@
   friend bool operator!=(const Member& a, const Member& b) { return !(a == b); }
 };
 
+/** The highest incarnation that is accepted; JSON numbers hold it exactly. */
+constexpr std::uint64_t kMaxIncarnation = 1ULL << 53U;
+
+/** @returns "alive", "suspect", "dead" or "left" */
+const char* ToString(MemberState state);
+
+std::ostream& operator<<(std::ostream& out, MemberState state);
+
+/** @returns "starting", "ready" or "leaving" */
+const char* ToString(TargetState state);
+
+/** @returns true for a member that may still be running: alive or suspect */
+inline bool IsLive(const Member& member) {
+  return member.state == MemberState::kAlive ||
+         member.state == MemberState::kSuspect;
+}
+
+/** Checks an entry heard from a peer.
+    @returns success, or ErrorCode::kInvalid naming the impossible field */
+Result<void> CheckMember(const Member& member);
+
+/** @returns an upper estimate of the entry's size on the wire, in bytes */
+std::size_t EstimateBytes(const Member& member);
+
+/** Orders what is believed of one member at one incarnation: alive, suspect,
+    dead, left.
+    @returns true when `heard` replaces `held`: its incarnation is higher, or
+    equal with a later state */
+bool Supersedes(const Member& heard, const Member& held);
+
 }  // namespace cumin
--- /dev/null
+++ b/modules/cumin_fleet/member_table.cc
@@ -0,0 +1,216 @@
+#include "cumin_fleet/member_table.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "cumin_core/digest.h"
+
+namespace cumin {
+
+namespace {
+
+/** A suspicion passes or ends in a new incarnation, so it is left out. */
+std::uint64_t HashOf(const Member& member) {
+  return StableHash(member.vm.str() + "|" + std::to_string(member.incarnation));
+}
+
+int BucketOf(const VmId& vm) {
+  return static_cast<int>(StableHash(vm.str()) % MemberTable::kBuckets);
+}
+
+bool IsTombstone(const Member& member) { return !IsLive(member); }
+
+}  // namespace
+
+MemberTable::MemberTable(Member self, const MemberTableSettings& settings)
+    : self_(self.vm), settings_(settings), bucket_digests_(kBuckets, 0) {
+  Entry entry{std::move(self), MonoTime{}, 0, 0};
+  entry.bucket = BucketOf(self_);
+  entry.hash = HashOf(entry.member);
+  CountIn(entry);
+  entries_.emplace(self_, std::move(entry));
+}
+
+void MemberTable::AddListener(Listener* listener) {
+  listeners_.push_back(listener);
+}
+
+void MemberTable::RemoveListener(Listener* listener) {
+  listeners_.erase(std::remove(listeners_.begin(), listeners_.end(), listener),
+                   listeners_.end());
+}
+
+Result<bool> MemberTable::Merge(const Member& heard, MergeSource source,
+                                MonoTime now) {
+  const Result<void> checked = CheckMember(heard);
+  if (!checked) {
+    return checked.error();
+  }
+  if (heard.vm == self_) {
+    return MergeSelf(heard, now);
+  }
+  const auto it = entries_.find(heard.vm);
+  if (it != entries_.end()) {
+    if (!IsNewer(heard, it->second.member)) {
+      return false;
+    }
+  } else if (entries_.size() >= settings_.max_members) {
+    return Error{ErrorCode::kUnavailable, heard.vm.str(), 0, "",
+                 "the member table is full"};
+  }
+  Put(heard, source, now);
+  return true;
+}
+
+Result<bool> MemberTable::MergeSelf(const Member& heard, MonoTime now) {
+  if (self().state == MemberState::kLeft || !MustRefute(heard)) {
+    return false;
+  }
+  ++refutations_;
+  PutSelf(self(), heard.incarnation, now);
+  return true;
+}
+
+void MemberTable::Accuse(const VmId& vm, std::uint64_t incarnation,
+                         MemberState state, MonoTime now) {
+  const Member* held = Find(vm);
+  if (held == nullptr || vm == self_ || held->incarnation != incarnation) {
+    return;
+  }
+  Member accused = *held;
+  accused.state = state;
+  if (IsNewer(accused, *held)) {
+    Put(accused, MergeSource::kGossip, now);
+  }
+}
+
+void MemberTable::SetTarget(const std::optional<AnnouncedTarget>& target,
+                            MonoTime now) {
+  if (self().target == target) {
+    return;
+  }
+  Member changed = self();
+  changed.target = target;
+  PutSelf(std::move(changed), 0, now);
+}
+
+void MemberTable::RaiseIncarnation(MonoTime now, std::uint64_t above) {
+  PutSelf(self(), above, now);
+}
+
+void MemberTable::Leave(MonoTime now) {
+  Member changed = self();
+  changed.state = MemberState::kLeft;
+  PutSelf(std::move(changed), 0, now);
+}
+
+void MemberTable::Expire(MonoTime now) {
+  std::vector<Member> forgotten;
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    const Entry& entry = it->second;
+    const bool ended = entry.changed_at + settings_.tombstone_lifetime <= now;
+    if (it->first == self_ || !IsTombstone(entry.member) || !ended) {
+      ++it;
+      continue;
+    }
+    forgotten.push_back(entry.member);
+    it = entries_.erase(it);
+  }
+  for (const Member& it : forgotten) {
+    for (Listener* listener : listeners_) {
+      listener->OnMemberForgotten(it);
+    }
+  }
+}
+
+const Member* MemberTable::Find(const VmId& vm) const {
+  const auto it = entries_.find(vm);
+  return it == entries_.end() ? nullptr : &it->second.member;
+}
+
+std::vector<Member> MemberTable::Live() const {
+  std::vector<Member> live;
+  live.reserve(live_count_);
+  for (const auto& it : entries_) {
+    if (IsLive(it.second.member)) {
+      live.push_back(it.second.member);
+    }
+  }
+  return live;
+}
+
+std::vector<Member> MemberTable::All() const {
+  std::vector<Member> all;
+  all.reserve(entries_.size());
+  for (const auto& it : entries_) {
+    all.push_back(it.second.member);
+  }
+  return all;
+}
+
+std::uint64_t MemberTable::digest() const {
+  std::uint64_t digest = 0;
+  for (const std::uint64_t it : bucket_digests_) {
+    digest ^= it;
+  }
+  return digest;
+}
+
+std::vector<Member> MemberTable::Bucket(int bucket) const {
+  std::vector<Member> members;
+  for (const auto& it : entries_) {
+    if (it.second.bucket == bucket) {
+      members.push_back(it.second.member);
+    }
+  }
+  return members;
+}
+
+bool MemberTable::IsNewer(const Member& heard, const Member& held) const {
+  return Supersedes(heard, held);
+}
+
+bool MemberTable::MustRefute(const Member& heard) const {
+  if (heard.incarnation != self().incarnation) {
+    return heard.incarnation > self().incarnation;
+  }
+  return heard != self();
+}
+
+void MemberTable::Put(const Member& member, MergeSource source, MonoTime now) {
+  const auto it = entries_.find(member.vm);
+  std::optional<Member> before;
+  if (it != entries_.end()) {
+    before = it->second.member;
+    CountOut(it->second);
+  }
+  Entry entry{member, now, BucketOf(member.vm), HashOf(member)};
+  CountIn(entry);
+  entries_.insert_or_assign(member.vm, std::move(entry));
+  const Member after = member;
+  for (Listener* listener : std::vector<Listener*>(listeners_)) {
+    listener->OnMemberChanged(before ? &*before : nullptr, after, source);
+  }
+}
+
+void MemberTable::PutSelf(Member member, std::uint64_t above, MonoTime now) {
+  member.incarnation = std::max(member.incarnation, above) + 1;
+  Put(member, MergeSource::kGossip, now);
+}
+
+void MemberTable::CountOut(const Entry& entry) {
+  if (IsLive(entry.member)) {
+    bucket_digests_.at(entry.bucket) ^= entry.hash;
+    --live_count_;
+  }
+}
+
+void MemberTable::CountIn(const Entry& entry) {
+  if (IsLive(entry.member)) {
+    bucket_digests_.at(entry.bucket) ^= entry.hash;
+    ++live_count_;
+  }
+}
+
+}  // namespace cumin
