Ledger decisions: owner lease, shard ownership, key table, first-sent rule

A resend of a non-idempotent call through another daemon could run it twice once the daemon that ran it died. Shards of keys get one owner, recorded by compare-and-swap with an epoch; one lease per daemon covers all its shards.

Ruled out: a lease per shard (writes grow with shards), a store claim per call (writes grow with calls), and giving the target a deadline inside the lease as the guard for a pause between check and dispatch: the first-sent rule covers that trace already, since the paused call was sent before the lease ended. A lapsed owner that finds its record unchanged keeps its keys.

--- /dev/null
+++ b/modules/cumin_ledger/shard_record.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "cumin_core/error.h"
+#include "cumin_core/identifier.h"
+#include "cumin_core/time.h"
+#include "cumin_ledger/ledger_types.h"
+
+namespace cumin {
+
+/** Who owns a shard, as the store records it. The record is replaced and never
+    removed. */
+struct ShardRecord {
+  VmId owner;
+  /** The owner's lease; the owner owns the shard as long as it lasts. */
+  std::string lease;
+  /** Grows by one with each change of the owner or its lease. */
+  std::uint64_t epoch = 0;
+  /** The owner knows every call that ran and was first sent at this time or
+      later; 1970 when it knows all. */
+  WallTime known_since{};
+
+  friend bool operator==(const ShardRecord& a, const ShardRecord& b) {
+    return a.owner == b.owner && a.lease == b.lease && a.epoch == b.epoch &&
+           a.known_since == b.known_since;
+  }
+};
+
+/** @returns the store key of a shard's record, "ledger/<service>/<shard>" */
+std::string ShardKey(const ShardId& shard);
+
+/** @returns the record as JSON */
+std::string ToText(const ShardRecord& record);
+
+/** Parses a record.
+    @param text    the store's value
+    @param source  the store's key, to name in errors
+    @returns the record, or ErrorCode::kInvalid */
+Result<ShardRecord> ParseShardRecord(const std::string& text,
+                                     const std::string& source);
+
+}  // namespace cumin
