--- /dev/null
+++ b/modules/cumin_routing/target_chooser.cc
@@ -0,0 +1,196 @@
+#include "cumin_routing/target_chooser.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+namespace cumin {
+
+namespace {
+
+/** Time constant with which reported load fades. */
+constexpr Duration kLoadFadeTime = std::chrono::seconds(2);
+/** At this many calls a slot a target counts as full. */
+constexpr double kFullPressure = 1.0;
+constexpr Duration kNoTargetRetryAfter = std::chrono::milliseconds(500);
+
+}  // namespace
+
+void TargetChooser::SetMembers(const std::vector<Member>& members,
+                               MonoTime now) {
+  std::unordered_map<VmId, Target> targets;
+  services_.clear();
+  for (const Member& it : members) {
+    if (!it.target) {
+      continue;
+    }
+    const auto known = targets_.find(it.vm);
+    Target target;
+    if (known != targets_.end()) {
+      target = std::move(known->second);
+      const bool is_replaced =
+          !target.member.target ||
+          target.member.target->endpoint != it.target->endpoint ||
+          target.member.endpoint != it.endpoint;
+      if (is_replaced || target.member.incarnation != it.incarnation) {
+        // What the member says of itself is newer than its last answer.
+        target.has_load = false;
+        target.health = TargetHealth();
+      }
+    }
+    target.member = it;
+    target.loaded_at = std::min(target.loaded_at, now);
+    services_[it.target->service].push_back(it.vm);
+    targets.emplace(it.vm, std::move(target));
+  }
+  targets_ = std::move(targets);
+}
+
+std::optional<Member> TargetChooser::Choose(const ChooseRequest& request,
+                                            MonoTime now, Random& random,
+                                            Refusal* refusal) {
+  bool has_any = false;
+  const std::vector<Target*> candidates = Candidates(request, now, &has_any);
+  Target* const chosen = Draw(candidates, now, random);
+  if (chosen == nullptr) {
+    *refusal = Refusal{Verdict::kNotRun, RefusalReason::kNoTarget,
+                       has_any ? "every target of the service was tried"
+                               : "the service has no target that takes work",
+                       kNoTargetRetryAfter};
+    return std::nullopt;
+  }
+  chosen->own_in_flight += 1;
+  chosen->health.OnSent(now);
+  return chosen->member;
+}
+
+void TargetChooser::Finish(const VmId& vm) {
+  const auto it = targets_.find(vm);
+  if (it != targets_.end() && it->second.own_in_flight > 0) {
+    it->second.own_in_flight -= 1;
+  }
+}
+
+void TargetChooser::OnLoad(const VmId& vm, const ReportedLoad& load,
+                           MonoTime now) {
+  const auto it = targets_.find(vm);
+  if (it == targets_.end()) {
+    return;
+  }
+  Target& target = it->second;
+  target.load = load;
+  target.loaded_at = now;
+  target.has_load = true;
+  target.own_at_load = target.own_in_flight;
+  target.health.OnSuccess();
+}
+
+void TargetChooser::OnFailure(const VmId& vm, MonoTime now) {
+  const auto it = targets_.find(vm);
+  if (it != targets_.end()) {
+    it->second.health.OnFailure(now);
+  }
+}
+
+int TargetChooser::InFlight(const VmId& vm) const {
+  const auto it = targets_.find(vm);
+  return it == targets_.end() ? 0 : it->second.own_in_flight;
+}
+
+bool TargetChooser::MayTakeWork(const Target& target) {
+  const Member& member = target.member;
+  if (member.state == MemberState::kDead ||
+      member.state == MemberState::kLeft) {
+    return false;
+  }
+  if (member.target->state != TargetState::kReady ||
+      member.target->slots <= 0) {
+    return false;
+  }
+  return !target.has_load ||
+         (!target.load.leaving && target.load.usable_slots > 0);
+}
+
+TargetChooser::Distance TargetChooser::DistanceTo(const Target& target) const {
+  if (target.member.region != self_.region) {
+    return Distance::kElsewhere;
+  }
+  return target.member.failure_domain == self_.failure_domain
+             ? Distance::kFailureDomain
+             : Distance::kRegion;
+}
+
+double TargetChooser::Pressure(const Target& target, MonoTime now) {
+  if (!target.has_load) {
+    return static_cast<double>(target.own_in_flight) /
+           target.member.target->slots;
+  }
+  const double age = std::chrono::duration<double>(now - target.loaded_at) /
+                     std::chrono::duration<double>(kLoadFadeTime);
+  const double others =
+      target.load.in_flight + target.load.queued - target.own_at_load;
+  const double faded = std::max(0.0, others) * std::exp(-age);
+  return (faded + target.own_in_flight) / target.load.usable_slots;
+}
+
+std::vector<TargetChooser::Target*> TargetChooser::Candidates(
+    const ChooseRequest& request, MonoTime now, bool* has_any) {
+  std::array<std::vector<Target*>, 3> with_room;
+  std::array<std::vector<Target*>, 3> healthy;
+  std::vector<Target*> failing;
+  const auto service = services_.find(request.service);
+  if (service == services_.end()) {
+    return {};
+  }
+  for (const VmId& vm : service->second) {
+    Target& target = targets_.at(vm);
+    if (!MayTakeWork(target)) {
+      continue;
+    }
+    *has_any = true;
+    const bool was_tried = std::find(request.tried.begin(), request.tried.end(),
+                                     vm) != request.tried.end();
+    if (was_tried) {
+      continue;
+    }
+    if (!target.health.IsUsable(now)) {
+      failing.push_back(&target);
+      continue;
+    }
+    const auto distance = static_cast<std::size_t>(DistanceTo(target));
+    healthy.at(distance).push_back(&target);
+    if (Pressure(target, now) < kFullPressure) {
+      with_room.at(distance).push_back(&target);
+    }
+  }
+  for (const auto* groups : {&with_room, &healthy}) {
+    for (const std::vector<Target*>& it : *groups) {
+      if (!it.empty()) {
+        return it;
+      }
+    }
+  }
+  // When every target fails, the choice falls back on all of them.
+  return failing;
+}
+
+TargetChooser::Target* TargetChooser::Draw(
+    const std::vector<Target*>& candidates, MonoTime now,
+    Random& random) const {
+  if (candidates.empty()) {
+    return nullptr;
+  }
+  const std::size_t n = candidates.size();
+  Target* const first = candidates.at(random.Below(n));
+  if (n == 1) {
+    return first;
+  }
+  Target* second = candidates.at(random.Below(n - 1));
+  if (second == first) {
+    second = candidates.at(n - 1);
+  }
+  return Pressure(*second, now) < Pressure(*first, now) ? second : first;
+}
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_routing/target_chooser.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "cumin_core/random.h"
+#include "cumin_core/verdict.h"
+#include "cumin_fleet/member.h"
+#include "cumin_routing/target_health.h"
+
+namespace cumin {
+
+/** Where this daemon stands, to prefer what is near. */
+struct Locality {
+  RegionId region;
+  FailureDomainId failure_domain;
+
+  friend bool operator==(const Locality& a, const Locality& b) {
+    return a.region == b.region && a.failure_domain == b.failure_domain;
+  }
+};
+
+/** How busy a target was when its daemon last answered. */
+struct ReportedLoad {
+  int in_flight = 0;
+  int queued = 0;
+  int usable_slots = 0;
+  bool leaving = false;
+
+  friend bool operator==(const ReportedLoad& a, const ReportedLoad& b) {
+    return a.in_flight == b.in_flight && a.queued == b.queued &&
+           a.usable_slots == b.usable_slots && a.leaving == b.leaving;
+  }
+};
+
+/** What TargetChooser::Choose decides from, besides the targets. */
+struct ChooseRequest {
+  ServiceId service;
+  /** Targets that this call has already been sent to. */
+  std::vector<VmId> tried;
+};
+
+/** Chooses the target of each call from what the fleet knows and the load that
+    rode back on earlier answers.
+
+    Among the nearest targets with room it draws two and takes the less loaded;
+    farther ones are used only when the nearer are at their limit. Leaving,
+    starting and zero-slot targets are never chosen. Load known from an answer
+    fades with its age; the calls that this daemon has in flight count exactly.
+*/
+class TargetChooser {
+ public:
+  /** @param self  where this daemon stands */
+  explicit TargetChooser(Locality self) : self_(std::move(self)) {}
+
+  /** Replaces what the fleet knows; load and health of targets that stay are
+      kept.
+      @param members  every member with a target */
+  void SetMembers(const std::vector<Member>& members, MonoTime now);
+
+  /** Chooses a target and counts the call as in flight there until Finish.
+      @param request       the call
+      @param now           the time
+      @param random        source of the two draws
+      @param[out] refusal  set when there is none; always NotRun
+      @returns the daemon beside the target, or nothing */
+  std::optional<Member> Choose(const ChooseRequest& request, MonoTime now,
+                               Random& random, Refusal* refusal);
+
+  /** The call that Choose counted has ended. */
+  void Finish(const VmId& vm);
+
+  /** An answer or refusal of a target's daemon arrived. */
+  void OnLoad(const VmId& vm, const ReportedLoad& load, MonoTime now);
+
+  /** The target's daemon could not be reached, did not answer in time, or said
+      that the target failed. */
+  void OnFailure(const VmId& vm, MonoTime now);
+
+  /** @returns calls this daemon has in flight at the target */
+  int InFlight(const VmId& vm) const;
+
+ private:
+  struct Target {
+    Member member;
+    ReportedLoad load;
+    MonoTime loaded_at;
+    bool has_load = false;
+    int own_in_flight = 0;
+    /** Own calls in flight when the load was reported. */
+    int own_at_load = 0;
+    TargetHealth health;
+  };
+
+  enum class Distance { kFailureDomain, kRegion, kElsewhere };
+
+  static bool MayTakeWork(const Target& target);
+  Distance DistanceTo(const Target& target) const;
+  static double Pressure(const Target& target, MonoTime now);
+  std::vector<Target*> Candidates(const ChooseRequest& request, MonoTime now,
+                                  bool* has_any);
+  Target* Draw(const std::vector<Target*>& candidates, MonoTime now,
+               Random& random) const;
+
+  Locality self_;
+  std::unordered_map<VmId, Target> targets_;
+  std::unordered_map<ServiceId, std::vector<VmId>> services_;
+};
+
+}  // namespace cumin
