Thin whole path: cumind, front, call paths, controllers

Cause: no request was served yet. A caller's request now enters at any daemon, is planned against the configuration in force, crosses to the daemon beside the target and is answered by the target; the verdict and the load ride back.

--- /dev/null
+++ b/modules/cumin_proxy/call.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "cumin_config/mesh.h"
+#include "cumin_core/identifier.h"
+#include "cumin_core/time.h"
+#include "cumin_core/verdict.h"
+#include "cumin_rpc/http_message.h"
+
+namespace cumin {
+
+/** Names one attempt to execute a call; a retry is another attempt. */
+using AttemptId = Identifier<struct AttemptIdTag>;
+
+/** One caller's request on its way to a target. */
+struct Call {
+  AttemptId attempt;
+  CustomerId customer;
+  ServiceId service;
+  OperationId operation;
+  Repeatability repeatability = Repeatability::kIdempotent;
+  WorkClass work_class = WorkClass::kInteractive;
+  /** The request as the target will see it. */
+  HttpRequest request;
+  /** Empty for idempotent operations. */
+  IdempotencyKey key;
+  /** When the caller first sent this key, by the caller's clock. */
+  std::optional<WallTime> first_sent;
+  /** No answer is of use after this. */
+  MonoTime deadline;
+  /** The caller's span, as a traceparent header. */
+  std::string trace_parent;
+  /** Configuration version that the ingress decided with. */
+  std::uint64_t config_version = 0;
+};
+
+/** What a target's owner says of the target with each answer. */
+struct TargetLoad {
+  int in_flight = 0;
+  int queued = 0;
+  int slots = 0;
+  bool leaving = false;
+
+  friend bool operator==(const TargetLoad& a, const TargetLoad& b) {
+    return a.in_flight == b.in_flight && a.queued == b.queued &&
+           a.slots == b.slots && a.leaving == b.leaving;
+  }
+};
+
+/** How a call ended. */
+struct CallResult {
+  Verdict verdict = Verdict::kNotRun;
+  /** The target's whole answer; only with Verdict::kRan. */
+  HttpResponse response;
+  /** Why there is no answer; only with the other verdicts. */
+  Refusal refusal;
+  /** The target's load, when its owner told it. */
+  std::optional<TargetLoad> load;
+
+  /** @returns a result without an answer */
+  static CallResult Refused(Refusal refusal) {
+    CallResult result;
+    result.verdict = refusal.verdict;
+    result.refusal = std::move(refusal);
+    return result;
+  }
+};
+
+/** A way to have a call executed: by the target on this VM, by another daemon,
+    or through the daemon that keeps the call's idempotency key. */
+class CallPath {
+ public:
+  virtual ~CallPath() = default;
+
+  /** Blocks until the call has ended or its deadline has passed. */
+  virtual CallResult Execute(const Call& call) = 0;
+};
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_proxy/ingress_path.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "cumin_proxy/blackboard.h"
+#include "cumin_proxy/call.h"
+#include "cumin_proxy/call_planner.h"
+#include "cumin_proxy/owner_path.h"
+#include "cumin_proxy/remote_path.h"
+
+namespace cumin {
+
+/** Takes callers' requests: finds the route and the contract's grant, chooses
+    a target and has the call executed there. Thread-safe. */
+class IngressPath {
+ public:
+  /** @param board   outlives this object
+      @param owner   the path to this VM's target
+      @param remote  the path to other daemons */
+  IngressPath(Blackboard& board, OwnerPath& owner, RemotePath& remote);
+
+  /** Answers one caller's request. */
+  HttpResponse Handle(const HttpRequest& request);
+
+ private:
+  CallResult Route(const HttpRequest& request, const std::string& trace_parent);
+  CallResult ExecuteWithRetries(const PlannedCall& planned);
+  CallResult TryOnce(const Call& call, std::set<VmId>* tried);
+  bool MayRetry(const Call& call, const CallResult& result) const;
+  AttemptId NextAttempt();
+
+  Blackboard& board_;
+  OwnerPath& owner_;
+  RemotePath& remote_;
+};
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_proxy/target_client.cc
@@ -0,0 +1,83 @@
+#include "cumin_proxy/target_client.h"
+
+#include "cumin_core/tracing.h"
+#include "cumin_proxy/call_headers.h"
+
+namespace cumin {
+
+namespace {
+
+constexpr std::size_t kIdleConnections = 32;
+
+/** The target states itself that it shed the call before running it. */
+bool SaysNotRun(const HttpResponse& response) {
+  return response.headers.Get(kVerdictHeader) == ToString(Verdict::kNotRun);
+}
+
+CallResult FromError(const Error& error, const Call& call, MonoTime now) {
+  if (error.code == ErrorCode::kUnavailable) {
+    return CallResult::Refused(Refusal{
+        Verdict::kNotRun, RefusalReason::kNoTarget, error.reason, Duration(0)});
+  }
+  const RefusalReason reason = now >= call.deadline
+                                   ? RefusalReason::kDeadlineExpired
+                                   : RefusalReason::kConnectionLost;
+  return CallResult::Refused(
+      Refusal{Verdict::kMayHaveRun, reason, error.reason, Duration(0)});
+}
+
+}  // namespace
+
+TargetClient::TargetClient(Blackboard& board)
+    : board_(board),
+      pool_(kIdleConnections),
+      runs_(board.metrics.GetCounter("target_runs_total")),
+      lost_(board.metrics.GetCounter("target_outcomes_unknown_total")) {}
+
+CallResult TargetClient::Execute(const Call& call,
+                                 const AnnouncedTarget& target) {
+  const auto span = StartSpan(*board_.tracer, "target", call.trace_parent);
+  CallResult result = Exchange(call, target, TraceParent(*span));
+  span->SetTag("verdict", ToString(result.verdict));
+  if (result.verdict == Verdict::kRan) {
+    runs_.Add();
+  } else if (result.verdict == Verdict::kMayHaveRun) {
+    lost_.Add();
+  }
+  span->Finish();
+  return result;
+}
+
+CallResult TargetClient::Exchange(const Call& call,
+                                  const AnnouncedTarget& target,
+                                  const std::string& trace_parent) {
+  const MonoTime now = board_.clock.Now();
+  if (now >= call.deadline) {
+    return CallResult::Refused(
+        Refusal{Verdict::kNotRun, RefusalReason::kDeadlineExpired,
+                "the deadline passed before the start", Duration(0)});
+  }
+  const Duration left = call.deadline - now;
+  HttpRequest request = call.request;
+  request.headers.Set(kTraceHeader, trace_parent);
+  request.headers.Set(kDeadlineHeader, std::to_string(ToMillis(left)));
+  const ConnectionUse use = call.repeatability == Repeatability::kIdempotent
+                                ? ConnectionUse::kMayReuse
+                                : ConnectionUse::kFreshOnly;
+  const Result<HttpResponse> response =
+      pool_.Exchange(target.endpoint, request, left, use);
+  if (!response) {
+    return FromError(response.error(), call, board_.clock.Now());
+  }
+  if (SaysNotRun(response.value())) {
+    return CallResult::Refused(Refusal{Verdict::kNotRun, RefusalReason::kShed,
+                                       "the target shed the call",
+                                       Duration(0)});
+  }
+  CallResult result;
+  result.verdict = Verdict::kRan;
+  result.response = response.value();
+  return result;
+}
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_proxy/target_client.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "cumin_proxy/blackboard.h"
+#include "cumin_proxy/call.h"
+#include "cumin_rpc/http_client_pool.h"
+
+namespace cumin {
+
+/** Hands calls to the target on this VM over HTTP. */
+class TargetClient {
+ public:
+  /** @param board  outlives this object */
+  explicit TargetClient(Blackboard& board);
+
+  /** Executes one call; the target sees it at most once unless it is
+      idempotent.
+      @returns ran with the whole answer, or a refusal with the true verdict */
+  CallResult Execute(const Call& call, const AnnouncedTarget& target);
+
+ private:
+  CallResult Exchange(const Call& call, const AnnouncedTarget& target,
+                      const std::string& trace_parent);
+
+  Blackboard& board_;
+  HttpClientPool pool_;
+  Counter& runs_;
+  Counter& lost_;
+};
+
+}  // namespace cumin
