Routes are found by index, not by scanning every operation

Cause: FindRoute compared each operation of each service; at 260 services that is over a thousand string compares a call.

--- a/modules/cumin_config/config_snapshot.cc
+++ b/modules/cumin_config/config_snapshot.cc
@@ -7,13 +7,6 @@
 
 namespace {
 
-bool PathMatches(const std::string& pattern, const std::string& path) {
-  if (pattern.back() != '/') {
-    return path == pattern;
-  }
-  return path.compare(0, pattern.size(), pattern) == 0;
-}
-
 Result<void> CheckGrants(const Contract& contract, const Mesh& mesh) {
   const std::string source = "contract of " + contract.customer.str();
   for (std::size_t i = 0; i < contract.grants.size(); ++i) {
@@ -49,6 +42,7 @@
   raw->version_ = version;
   raw->digest_ = std::move(digest);
   raw->mesh_ = std::move(mesh);
+  raw->IndexRoutes();
   for (Contract& it : contracts) {
     const Result<void> checked = CheckGrants(it, raw->mesh_);
     if (!checked) {
@@ -70,19 +64,31 @@
 
 RouteMatch ConfigSnapshot::FindRoute(const std::string& method,
                                      const std::string& path) const {
-  RouteMatch match;
+  RouteMatch match = FindPattern(method, path);
+  std::size_t end = path.size();
+  while (match.operation == nullptr && end > 0) {
+    const std::size_t slash = path.rfind('/', end - 1);
+    if (slash == std::string::npos) {
+      break;
+    }
+    match = FindPattern(method, path.substr(0, slash + 1));
+    end = slash;
+  }
+  return match;
+}
+
+void ConfigSnapshot::IndexRoutes() {
   for (const Service& service : mesh_.services) {
     for (const Operation& it : service.operations) {
-      if (it.method != method || !PathMatches(it.path, path)) {
-        continue;
-      }
-      if (match.operation == nullptr ||
-          it.path.size() > match.operation->path.size()) {
-        match = RouteMatch{&service, &it};
-      }
+      routes_.emplace(it.method + " " + it.path, RouteMatch{&service, &it});
     }
   }
-  return match;
+}
+
+RouteMatch ConfigSnapshot::FindPattern(const std::string& method,
+                                       const std::string& pattern) const {
+  const auto it = routes_.find(method + " " + pattern);
+  return it == routes_.end() ? RouteMatch{} : it->second;
 }
 
 }  // namespace cumin
--- a/modules/cumin_config/config_snapshot.h
+++ b/modules/cumin_config/config_snapshot.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "cumin_config/contract.h"
@@ -44,7 +45,8 @@
   /** @returns every contract, ordered by customer */
   const std::map<CustomerId, Contract>& contracts() const { return contracts_; }
 
-  /** Finds the operation with the longest matching path.
+  /** Finds the operation with the longest matching path. The cost grows with
+      the path's length, not with the number of services.
       @returns null members when no route matches */
   RouteMatch FindRoute(const std::string& method,
                        const std::string& path) const;
@@ -52,10 +54,16 @@
  private:
   ConfigSnapshot() = default;
 
+  void IndexRoutes();
+  RouteMatch FindPattern(const std::string& method,
+                         const std::string& pattern) const;
+
   std::uint64_t version_ = 0;
   std::string digest_;
   Mesh mesh_;
   std::map<CustomerId, Contract> contracts_;
+  /** Keyed by method, a space and the path pattern. */
+  std::unordered_map<std::string, RouteMatch> routes_;
 };
 
 }  // namespace cumin
