--- a/modules/cumin_config/acceptance_plan.cc
+++ b/modules/cumin_config/acceptance_plan.cc
@@ -61,6 +61,10 @@
 
 void AcceptancePlan::OnWrite(const Result<void>& answer) {
   const bool conflict = !answer && answer.error().code == ErrorCode::kConflict;
+  if (!answer && answer.error().code == ErrorCode::kInvalid) {
+    FinishUnresolved(AcceptanceResult::kInvalid, answer.error());
+    return;
+  }
   if (!answer && !conflict) {
     const bool lost = answer.error().code != ErrorCode::kUnavailable;
     if (phase_ == Phase::kSwapHead && lost) {
--- a/modules/cumin_config/config_delta.cc
+++ b/modules/cumin_config/config_delta.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "cumin_config/config_history.h"
 #include "cumin_core/digest.h"
 
 namespace cumin {
@@ -130,6 +131,10 @@
   ConfigDelta merged = second;
   merged.from_version = first.from_version;
   merged.from_digest = first.from_digest;
+  merged.between = first.between;
+  merged.between.push_back(first.change);
+  merged.between.insert(merged.between.end(), second.between.begin(),
+                        second.between.end());
   merged.changed = ToParts(changed);
   merged.removed.assign(removed.begin(), removed.end());
   return merged;
@@ -142,6 +147,7 @@
   value["change"] = ToJson(delta.change);
   value["previous_digest"] = delta.previous_digest;
   value["manifest_digest"] = delta.manifest_digest;
+  value["between"] = ToJson(delta.between);
   Json::Value& changed = value["changed"] = Json::Value(Json::arrayValue);
   for (const ConfigPart& it : delta.changed) {
     changed.append(ToJson(it));
@@ -161,6 +167,7 @@
   delta.change = ReadConfigVersionRecord(change);
   delta.previous_digest = fields.String("previous_digest", kDigestBytes);
   delta.manifest_digest = fields.String("manifest_digest", kDigestBytes);
+  delta.between = ReadHistory(fields, "between");
   delta.changed = ReadConfigParts(fields, "changed");
   for (const std::string& it : fields.Strings("removed", kMaxParts)) {
     delta.removed.emplace_back(it);
--- a/modules/cumin_config/config_delta.h
+++ b/modules/cumin_config/config_delta.h
@@ -26,6 +26,9 @@
   ConfigVersionRecord change;
   std::string previous_digest;
   std::string manifest_digest;
+  /** Records of the versions that the delta passes over, oldest first, so that
+      a daemon that skips them still knows the history. */
+  std::vector<ConfigVersionRecord> between;
   /** Parts that are new or have another text, ordered by name. */
   std::vector<ConfigPart> changed;
   /** Parts that are gone, ordered by name. */
@@ -34,8 +37,8 @@
   friend bool operator==(const ConfigDelta& a, const ConfigDelta& b) {
     return a.from_version == b.from_version && a.from_digest == b.from_digest &&
            a.change == b.change && a.previous_digest == b.previous_digest &&
-           a.manifest_digest == b.manifest_digest && a.changed == b.changed &&
-           a.removed == b.removed;
+           a.manifest_digest == b.manifest_digest && a.between == b.between &&
+           a.changed == b.changed && a.removed == b.removed;
   }
 };
 
