cuminload: open-loop load judged against the targets' run logs

Cause: nothing may be doubled, lost or cut, and the callers' side alone cannot tell. Arrivals are planned before the first call is sent, latency counts from the planned time, and a run is judged by keys and request ids in the run logs. Process support for tests: ChildProcess, WaitUntil, TempDir. Programs build a library beside their main, so tests can link their parts.

--- a/cmake/cumin.cmake
+++ b/cmake/cumin.cmake
@@ -13,13 +13,21 @@
   endif()
 endfunction()
 
-# cumin_program(NAME LIBS ...) - an executable from every source file of
-# programs/NAME.
+# cumin_program(NAME LIBS ...) - a library NAME_core from the source files of
+# programs/NAME, which tests may link, and an executable from its main.cc.
 function(cumin_program name)
   cmake_parse_arguments(ARG "" "" "LIBS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/programs/${name}/*.cc)
+  set(folder ${CMAKE_SOURCE_DIR}/programs/${name})
+  file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cc)
+  list(REMOVE_ITEM sources ${folder}/main.cc)
   if(sources)
-    add_executable(${name} ${sources})
+    add_library(${name}_core STATIC ${sources})
+    target_include_directories(${name}_core PUBLIC ${CMAKE_SOURCE_DIR}/programs)
+    target_link_libraries(${name}_core PUBLIC ${ARG_LIBS})
+    set(ARG_LIBS ${name}_core)
+  endif()
+  if(EXISTS ${folder}/main.cc)
+    add_executable(${name} ${folder}/main.cc)
     target_link_libraries(${name} PRIVATE ${ARG_LIBS})
   endif()
 endfunction()
--- /dev/null
+++ b/programs/cuminload/main.cc
@@ -0,0 +1,18 @@
+// cuminload: sends load into a mesh and judges what became of it.
+
+#include <CLI/CLI.hpp>
+
+#include "cuminload/direct_compare_command.h"
+#include "cuminload/run_command.h"
+
+int main(int argc, char** argv) {
+  CLI::App app{
+      "cuminload - sends load into a mesh and judges what became of it\n"
+      "Exit status: 0 passed, 1 failed, 2 bad input"};
+  app.set_version_flag("--version", CUMIN_VERSION);
+  app.require_subcommand(1);
+  cumin::load::RegisterRun(app);
+  cumin::load::RegisterDirectCompare(app);
+  CLI11_PARSE(app, argc, argv);
+  return 0;
+}
--- /dev/null
+++ b/programs/cuminload/path_comparison.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "cumin_core/time.h"
+
+namespace cumin::load {
+
+/** The exact latencies of one path. */
+class LatencySample {
+ public:
+  void Add(Duration latency) { latencies_.push_back(latency); }
+
+  /** @param fraction  from 0 to 1
+      @returns the smallest latency that this part of them does not exceed;
+               zero when there are none */
+  Duration Quantile(double fraction) const;
+
+  std::size_t count() const { return latencies_.size(); }
+
+ private:
+  std::vector<Duration> latencies_;
+};
+
+/** One way to a target: direct, or through daemons. */
+struct PathResult {
+  std::string name;
+  LatencySample latencies;
+  std::size_t failed = 0;
+};
+
+/** @param paths  the first is the one that the others are compared with
+    @returns median and 99th percentile of each path, and what it adds to the
+             first, as text */
+std::string ComparePaths(const std::vector<PathResult>& paths);
+
+}  // namespace cumin::load
--- /dev/null
+++ b/programs/cuminload/run_record.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "cumin_core/error.h"
+#include "cumin_core/identifier.h"
+
+namespace cumin::load {
+
+/** What a target's run log says of one event. */
+enum class RunEvent { kStart, kFinish, kCut };
+
+/** One line of a target's run log. */
+struct RunRecord {
+  RunEvent event = RunEvent::kStart;
+  std::string target;
+  IdempotencyKey key;
+  std::string request_id;
+};
+
+/** Parses a run log.
+    @param text    one JSON object a line
+    @param source  the file to name in errors
+    @returns the records, or kInvalid with the line */
+Result<std::vector<RunRecord>> ParseRunLog(const std::string& text,
+                                           const std::string& source);
+
+}  // namespace cumin::load
--- /dev/null
+++ b/tests/support/child_process.cc
@@ -0,0 +1,145 @@
+#include "support/child_process.h"
+
+#include <fcntl.h>
+#include <signal.h>  // NOLINT: kill is POSIX, not <csignal>.
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <climits>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "support/wait_until.h"
+
+namespace cumin::test {
+
+namespace {
+
+constexpr int kFileMode = 0644;
+constexpr int kSignalStatusBase = 128;
+
+/** The settings of a new process, freed with this. */
+class SpawnPlan {
+ public:
+  explicit SpawnPlan(const std::string& output_path) {
+    posix_spawn_file_actions_init(&actions_);
+    OpenForWriting(STDOUT_FILENO, output_path);
+    OpenForWriting(STDERR_FILENO, output_path + ".err");
+    posix_spawnattr_init(&attributes_);
+    sigset_t none;
+    sigemptyset(&none);
+    posix_spawnattr_setsigmask(&attributes_, &none);
+    posix_spawnattr_setflags(&attributes_, POSIX_SPAWN_SETSIGMASK);
+  }
+  ~SpawnPlan() {
+    posix_spawn_file_actions_destroy(&actions_);
+    posix_spawnattr_destroy(&attributes_);
+  }
+  SpawnPlan(const SpawnPlan&) = delete;
+  SpawnPlan& operator=(const SpawnPlan&) = delete;
+
+  int Run(const std::vector<std::string>& command, pid_t* pid) const {
+    std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
+    for (const std::string& it : command) {
+      arguments.push_back(const_cast<char*>(it.c_str()));
+    }
+    arguments.push_back(nullptr);
+    return posix_spawn(pid, arguments[0], &actions_, &attributes_,
+                       arguments.data(), environ);
+  }
+
+ private:
+  void OpenForWriting(int fd, const std::string& path) {
+    posix_spawn_file_actions_addopen(&actions_, fd, path.c_str(),
+                                     O_WRONLY | O_CREAT | O_TRUNC, kFileMode);
+  }
+
+  posix_spawn_file_actions_t actions_{};
+  posix_spawnattr_t attributes_{};
+};
+
+int ExitStatus(int status) {
+  return WIFEXITED(status) ? WEXITSTATUS(status)
+                           : kSignalStatusBase + WTERMSIG(status);
+}
+
+}  // namespace
+
+Result<std::unique_ptr<ChildProcess>> ChildProcess::Start(
+    const std::vector<std::string>& command, const std::string& output_path) {
+  const SpawnPlan plan(output_path);
+  pid_t pid = 0;
+  const int ec = plan.Run(command, &pid);
+  if (ec != 0) {
+    return Error{ErrorCode::kUnavailable, command[0], 0, "",
+                 std::string("cannot start: ") + std::strerror(ec)};
+  }
+  return std::unique_ptr<ChildProcess>(new ChildProcess(pid, output_path));
+}
+
+ChildProcess::ChildProcess(pid_t pid, std::string output_path)
+    : pid_(pid), output_path_(std::move(output_path)) {}
+
+ChildProcess::~ChildProcess() {
+  if (IsRunning()) {
+    Kill();
+    waitpid(pid_, nullptr, 0);
+  }
+}
+
+std::string ChildProcess::FirstLine() {
+  std::string text;
+  WaitUntil([&] {
+    const bool running = IsRunning();
+    text = Output();
+    return text.find('\n') != std::string::npos || !running;
+  });
+  const std::size_t end = text.find('\n');
+  return end == std::string::npos ? "" : text.substr(0, end);
+}
+
+std::string ChildProcess::Output() const { return ReadFile(output_path_); }
+
+void ChildProcess::Terminate() const { kill(pid_, SIGTERM); }
+void ChildProcess::Kill() const { kill(pid_, SIGKILL); }
+void ChildProcess::Pause() const { kill(pid_, SIGSTOP); }
+void ChildProcess::Resume() const { kill(pid_, SIGCONT); }
+
+bool ChildProcess::IsRunning() {
+  if (status_) {
+    return false;
+  }
+  int status = 0;
+  if (waitpid(pid_, &status, WNOHANG) != pid_) {
+    return true;
+  }
+  status_ = ExitStatus(status);
+  return false;
+}
+
+std::optional<int> ChildProcess::WaitForEnd() {
+  WaitUntil([this] { return !IsRunning(); });
+  return status_;
+}
+
+std::string ProgramPath(const std::string& name) {
+  char buf[PATH_MAX];
+  const ssize_t n = readlink("/proc/self/exe", buf, sizeof(buf));
+  const std::string self(buf, n > 0 ? static_cast<std::size_t>(n) : 0);
+  // The running test is <build>/tests/<name>.
+  const std::string tests = self.substr(0, self.rfind('/'));
+  return tests.substr(0, tests.rfind('/') + 1) + name;
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace cumin::test
