--- a/modules/cumin_config/cumin_config.h
+++ b/modules/cumin_config/cumin_config.h
@@ -17,6 +17,7 @@
 #include "cumin_config/config_acceptor.h"
 #include "cumin_config/config_bundle.h"
 #include "cumin_config/config_delta.h"
+#include "cumin_config/config_diff.h"
 #include "cumin_config/config_history.h"
 #include "cumin_config/config_keys.h"
 #include "cumin_config/config_queries.h"
