--- a/modules/cumin_fleet/gather_plan.cc
+++ b/modules/cumin_fleet/gather_plan.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
-bool IsBetter(const VersionReport& a, const VersionReport& b) {
-  return a.confirmed != b.confirmed ? a.confirmed : a.last_heard > b.last_heard;
+bool IsBetter(const MemberVersionReport& a, const MemberVersionReport& b) {
+  return a.reachable != b.reachable ? a.reachable : a.last_heard > b.last_heard;
 }
 
 }  // namespace
@@ -34,12 +34,12 @@
   return chunks;
 }
 
-void GatherReport::Add(const VersionReport& report) {
-  const auto it =
-      std::lower_bound(members.begin(), members.end(), report,
-                       [](const VersionReport& a, const VersionReport& b) {
-                         return a.vm < b.vm;
-                       });
+void GatherReport::Add(const MemberVersionReport& report) {
+  const auto it = std::lower_bound(
+      members.begin(), members.end(), report,
+      [](const MemberVersionReport& a, const MemberVersionReport& b) {
+        return a.vm < b.vm;
+      });
   if (it == members.end() || it->vm != report.vm) {
     members.insert(it, report);
   } else if (IsBetter(report, *it)) {
@@ -49,8 +49,8 @@
 
 std::vector<VmId> GatherReport::Unconfirmed() const {
   std::vector<VmId> vms;
-  for (const VersionReport& it : members) {
-    if (!it.confirmed) {
+  for (const MemberVersionReport& it : members) {
+    if (!it.reachable) {
       vms.push_back(it.vm);
     }
   }
--- a/modules/cumin_fleet/gossip_message.h
+++ b/modules/cumin_fleet/gossip_message.h
@@ -32,6 +32,9 @@
       does not know the receiver or holds it otherwise. */
   std::uint64_t known_incarnation = 0;
   VersionStamp in_force;
+  /** The highest version that the sender has known the receiver to have; tells
+      a restarted daemon what it must not fall behind. */
+  std::uint64_t known_version = 0;
   /** How long ago a fetcher of the sender's region last heard the store. */
   Duration store_quiet{0};
   /** Digest of the sender's member table. */
--- a/modules/cumin_fleet/member_table.cc
+++ b/modules/cumin_fleet/member_table.cc
@@ -95,6 +95,15 @@
   PutSelf(std::move(changed), 0, now);
 }
 
+void MemberTable::SetEndpoint(const Endpoint& endpoint, MonoTime now) {
+  if (self().endpoint == endpoint) {
+    return;
+  }
+  Member changed = self();
+  changed.endpoint = endpoint;
+  PutSelf(std::move(changed), 0, now);
+}
+
 void MemberTable::RaiseIncarnation(MonoTime now, std::uint64_t above) {
   PutSelf(self(), above, now);
 }
--- a/modules/cumin_fleet/member_table.h
+++ b/modules/cumin_fleet/member_table.h
@@ -88,6 +88,9 @@
   /** Replaces the target that this daemon announces. */
   void SetTarget(const std::optional<AnnouncedTarget>& target, MonoTime now);
 
+  /** Replaces the address at which this daemon is reached. */
+  void SetEndpoint(const Endpoint& endpoint, MonoTime now);
+
   /** States anew that this daemon is alive.
       @param above  the new incarnation is higher than this one too */
   void RaiseIncarnation(MonoTime now, std::uint64_t above = 0);
