--- a/modules/cumin_fleet/gossip_queue.h
+++ b/modules/cumin_fleet/gossip_queue.h
@@ -16,7 +16,7 @@
   /** Changes in one message at most. */
   std::size_t max_updates = 8;
   /** Bytes of changes in one message at most. */
-  std::size_t max_bytes = 700;
+  std::size_t max_bytes = 420;
 };
 
 /** Member changes that wait to ride on probes and acknowledgements.
--- a/modules/cumin_fleet/member.cc
+++ b/modules/cumin_fleet/member.cc
@@ -9,8 +9,8 @@
 constexpr std::size_t kMaxNameBytes = 64;
 constexpr int kMaxSlots = 100000;
 /** Brackets, quotes, separators, ports and numbers of one entry. */
-constexpr std::size_t kEntryOverheadBytes = 48;
-constexpr std::size_t kTargetOverheadBytes = 24;
+constexpr std::size_t kEntryOverheadBytes = 72;
+constexpr std::size_t kTargetOverheadBytes = 48;
 
 Error Impossible(const Member& member, const char* field, const char* reason) {
   return Error{ErrorCode::kInvalid, member.vm.str(), 0, field, reason};
--- a/modules/cumin_proxy/daemon.cc
+++ b/modules/cumin_proxy/daemon.cc
@@ -10,8 +10,7 @@
 #include "cumin_core/logging.h"
 #include "cumin_core/tracing.h"
 #include "cumin_proxy/blackboard.h"
-#include "cumin_proxy/config_controller.h"
-#include "cumin_proxy/fleet_controller.h"
+#include "cumin_proxy/control_plane.h"
 #include "cumin_proxy/front.h"
 #include "cumin_proxy/ingress_path.h"
 #include "cumin_proxy/owner_path.h"
@@ -52,6 +51,7 @@
         remote_(board_),
         ingress_(board_, owner_, remote_),
         front_(board_, ingress_, owner_, dispatcher_),
+        control_(board_, store_, dispatcher_),
         server_(front_, ServerOptions(settings)) {
     board_.tracer =
         std::make_shared<JsonTracer>(settings.vm.str(), trace_, SystemSeed());
@@ -62,10 +62,7 @@
     if (!bound) {
       return bound;
     }
-    config_ = std::make_unique<ConfigController>(board_, store_);
-    fleet_ = std::make_unique<FleetController>(board_, store_, bound.value());
-    config_->Start();
-    fleet_->Start();
+    control_.Start(bound.value());
     CUMIN_LOG(info) << "listening on " << bound.value();
     return bound;
   }
@@ -78,9 +75,7 @@
       std::this_thread::sleep_for(kDrainPoll);
     }
     const int cut = front_.active_calls();
-    fleet_->Stop();
-    fleet_->Leave();
-    config_->Stop();
+    control_.Leave();
     server_.Stop();
     CUMIN_LOG(info) << "ended, " << cut << " calls cut";
     return cut;
@@ -96,9 +91,8 @@
   IngressPath ingress_;
   JsonRpcDispatcher dispatcher_;
   Front front_;
+  ControlPlane control_;
   HttpServer server_;
-  std::unique_ptr<ConfigController> config_;
-  std::unique_ptr<FleetController> fleet_;
 };
 
 Daemon::Daemon(const DaemonSettings& settings)
--- a/modules/cumin_proxy/daemon_settings.cc
+++ b/modules/cumin_proxy/daemon_settings.cc
@@ -67,6 +67,11 @@
   settings.listen = ReadEndpoint(root, "listen");
   settings.store = ReadEndpoint(root, "store");
   settings.seeds = ReadSeeds(root);
+  settings.store_region = RegionId(root.String("store_region", ""));
+  settings.spread =
+      root.Choice("spread", {"tree", "watch-all"}, "tree") == "watch-all"
+          ? SpreadMode::kWatchAll
+          : SpreadMode::kTree;
   settings.workers =
       static_cast<int>(root.Int("workers", settings.workers, 1, kMaxWorkers));
   settings.log_level = root.Choice(
--- a/modules/cumin_proxy/daemon_settings.h
+++ b/modules/cumin_proxy/daemon_settings.h
@@ -11,6 +11,14 @@
 
 namespace cumin {
 
+/** How configuration versions reach a daemon. */
+enum class SpreadMode {
+  /** Two daemons of each region watch the store and pass changes on. */
+  kTree,
+  /** Every daemon watches the store; for comparison. */
+  kWatchAll,
+};
+
 /** What a daemon reads from its settings file at start. */
 struct DaemonSettings {
   VmId vm;
@@ -22,6 +30,10 @@
   Endpoint store;
   /** Daemons to join by when the store cannot be reached. */
   std::vector<Endpoint> seeds;
+  /** The region that the store stands in; changes start from there. Empty for
+      the first region by name. */
+  RegionId store_region;
+  SpreadMode spread = SpreadMode::kTree;
   /** Calls in execution at the same time; more are refused. */
   int workers = 64;
   std::string log_level = "info";
--- a/modules/cumin_proxy/front.cc
+++ b/modules/cumin_proxy/front.cc
@@ -2,11 +2,14 @@
 
 #include "cumin_proxy/call_codec.h"
 #include "cumin_proxy/call_headers.h"
+#include "cumin_proxy/peer_caller.h"
 
 namespace cumin {
 
 namespace {
 
+/** Date, Server, Connection and Content-Length, which the library adds. */
+constexpr std::size_t kAddedResponseBytes = 125;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
@@ -115,11 +118,11 @@
 }
 
 HttpResponse Front::HandleRpc(const HttpRequest& request) {
-  control_bytes_in_.Add(request.body.size());
+  control_bytes_in_.Add(WireBytes(request));
   HttpResponse response;
   response.headers.Set("Content-Type", "application/json");
   response.body = dispatcher_.Dispatch(request.body);
-  control_bytes_out_.Add(response.body.size());
+  control_bytes_out_.Add(WireBytes(response) + kAddedResponseBytes);
   return response;
 }
 
