--- a/tests/load/scenario_test.cc
+++ b/tests/load/scenario_test.cc
@@ -134,8 +134,9 @@
   static void AssertGranted(const ConfigSnapshot& snapshot,
                             const ScenarioCall& call) {
     const RouteMatch route = snapshot.FindRoute(call.method, call.path);
-    CPPUNIT_ASSERT_MESSAGE(call.name, route.operation != nullptr);
-    CPPUNIT_ASSERT(route.operation->repeatability == call.repeatability);
+    const bool same_kind = route.operation != nullptr &&
+                           route.operation->repeatability == call.repeatability;
+    CPPUNIT_ASSERT_MESSAGE(call.name, same_kind);
     const Grant grant = FindGrant(snapshot, call, route);
     CPPUNIT_ASSERT_MESSAGE(call.name, grant.deadline >= call.deadline);
   }
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -104,6 +104,10 @@
 
 std::string ChildProcess::Output() const { return ReadFile(output_path_); }
 
+std::string ChildProcess::ErrorOutput() const {
+  return ReadFile(output_path_ + ".err");
+}
+
 void ChildProcess::Terminate() const { kill(pid_, SIGTERM); }
 void ChildProcess::Kill() const { kill(pid_, SIGKILL); }
 void ChildProcess::Pause() const { kill(pid_, SIGSTOP); }
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -37,6 +37,9 @@
   /** @returns everything written to standard output so far */
   std::string Output() const;
 
+  /** @returns everything written to standard error so far */
+  std::string ErrorOutput() const;
+
   /** Asks the process to end (SIGTERM). */
   void Terminate() const;
   /** Ends the process at once (SIGKILL), as a crash of its VM would. */
