--- a/modules/cumin_proxy/call.h
+++ b/modules/cumin_proxy/call.h
@@ -8,6 +8,7 @@
 #include "cumin_core/target_load.h"
 #include "cumin_core/time.h"
 #include "cumin_core/verdict.h"
+#include "cumin_proxy/dispatch_guard.h"
 #include "cumin_rpc/http_message.h"
 
 namespace cumin {
@@ -37,6 +38,11 @@
   std::string trace_parent;
   /** Configuration version that the ingress decided with. */
   std::uint64_t config_version = 0;
+  /** The owner of the key's shard has admitted this attempt; it goes straight
+      to a target. */
+  bool is_admitted = false;
+  /** Asked right before the call is handed to a target; may be null. */
+  DispatchGuard* guard = nullptr;
 };
 
 /** How a call ended. */
@@ -48,6 +54,9 @@
   Refusal refusal;
   /** The target's load, when its owner told it. */
   std::optional<TargetLoad> load;
+  /** Who owns the key's shard, with RefusalReason::kNotShardOwner; may be
+      empty. */
+  VmId shard_owner;
 
   /** @returns a result without an answer */
   static CallResult Refused(Refusal refusal) {
--- a/modules/cumin_proxy/call_codec.cc
+++ b/modules/cumin_proxy/call_codec.cc
@@ -166,6 +166,9 @@
       std::to_string(CallDeadline(call.deadline).NextHopMillis(now)));
   out.headers.Set(kConfigVersionHeader, std::to_string(call.config_version));
   out.headers.Set(kTraceHeader, call.trace_parent);
+  if (call.is_admitted) {
+    out.headers.Set(kAdmittedHeader, "1");
+  }
   out.body = call.request.body;
   return out;
 }
@@ -205,6 +208,7 @@
   call.config_version = static_cast<std::uint64_t>(
       ReadNumber(request.headers, kConfigVersionHeader).value_or(0));
   call.trace_parent = request.headers.Get(kTraceHeader);
+  call.is_admitted = request.headers.Has(kAdmittedHeader);
   call.request = request;
   SplitPath(request.headers.Get(kTargetPathHeader), &call.request);
   return call;
@@ -213,6 +217,9 @@
 HttpResponse EncodeResult(const CallResult& result, const AttemptId& attempt) {
   HttpResponse out = ToCallerResponse(result);
   out.headers.Set(kAttemptHeader, attempt.str());
+  if (!result.shard_owner.empty()) {
+    out.headers.Set(kShardOwnerHeader, result.shard_owner.str());
+  }
   if (result.load) {
     out.headers.Set(kLoadHeader, EncodeLoad(*result.load));
   }
@@ -240,6 +247,7 @@
   }
   CallResult result;
   result.verdict = verdict;
+  result.shard_owner = VmId(response.headers.Get(kShardOwnerHeader));
   result.load = DecodeLoad(response.headers.Get(kLoadHeader));
   if (verdict == Verdict::kRan) {
     result.response = response;
--- a/modules/cumin_proxy/call_headers.h
+++ b/modules/cumin_proxy/call_headers.h
@@ -22,6 +22,8 @@
 constexpr char kTargetPathHeader[] = "Cumin-Target-Path";
 /** The daemon where the caller's request arrived. */
 constexpr char kIngressHeader[] = "Cumin-Ingress";
+constexpr char kAdmittedHeader[] = "Cumin-Admitted";
+constexpr char kShardOwnerHeader[] = "Cumin-Shard-Owner";
 constexpr char kLoadHeader[] = "Cumin-Load";
 
 /** Paths that the daemon serves itself; all begin with kReservedPrefix. */
--- a/modules/cumin_proxy/call_planner.cc
+++ b/modules/cumin_proxy/call_planner.cc
@@ -25,7 +25,7 @@
 
 /** Fields that belong to one connection or that a daemon sets itself. */
 bool IsPassedOn(const std::string& name) {
-  static constexpr std::array<const char*, 13> kDropped = {"Host",
+  static constexpr std::array<const char*, 14> kDropped = {"Host",
                                                            "Connection",
                                                            "Keep-Alive",
                                                            "Content-Length",
@@ -37,7 +37,8 @@
                                                            kIngressHeader,
                                                            kServiceHeader,
                                                            kOperationHeader,
-                                                           kTargetPathHeader};
+                                                           kTargetPathHeader,
+                                                           kAdmittedHeader};
   return std::none_of(kDropped.begin(), kDropped.end(), [&](const char* it) {
     return strcasecmp(it, name.c_str()) == 0;
   });
--- a/modules/cumin_proxy/daemon.cc
+++ b/modules/cumin_proxy/daemon.cc
@@ -14,6 +14,9 @@
 #include "cumin_proxy/control_plane.h"
 #include "cumin_proxy/front.h"
 #include "cumin_proxy/ingress_path.h"
+#include "cumin_proxy/ledger_controller.h"
+#include "cumin_proxy/ledger_table.h"
+#include "cumin_proxy/order_path.h"
 #include "cumin_proxy/owner_path.h"
 #include "cumin_proxy/remote_path.h"
 #include "cumin_proxy/suspect_notifier.h"
@@ -25,6 +28,8 @@
 
 constexpr Duration kStoreTimeout = std::chrono::seconds(2);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
+/** Longest wait for attempts under way before ledger shards are handed over. */
+constexpr Duration kHandoverLimit = std::chrono::seconds(2);
 /** Threads beyond the workers, for control messages. */
 constexpr unsigned kControlThreads = 16;
 
@@ -35,6 +40,16 @@
   return options;
 }
 
+LeaseOptions LedgerLease(const DaemonSettings& settings) {
+  constexpr int kRenewalsPerLease = 3;
+  constexpr int kMarginDivisor = 20;
+  LeaseOptions options;
+  options.length = settings.ledger_lease;
+  options.renew_interval = settings.ledger_lease / kRenewalsPerLease;
+  options.expiry_margin = settings.ledger_lease / kMarginDivisor;
+  return options;
+}
+
 std::uint64_t SystemSeed() {
   std::random_device device;
   return (std::uint64_t{device()} << 32U) | device();
@@ -52,11 +67,15 @@
         notifier_(board_),
         owner_(board_, notifier_),
         remote_(board_),
-        ingress_(board_, owner_, remote_),
-        front_(board_, ingress_, owner_, dispatcher_),
+        ledger_(settings.vm, clock_, board_.random, LedgerLease(settings)),
+        orders_(board_, ledger_, owner_, remote_),
+        ingress_(board_, owner_, remote_, orders_),
+        front_(board_, ingress_, owner_, orders_, dispatcher_),
         control_(board_, store_, dispatcher_),
+        ledger_controller_(board_, store_, ledger_),
         server_(front_, ServerOptions(settings)) {
     notifier_.Register(dispatcher_);
+    LedgerController::Register(dispatcher_, ledger_);
     board_.tracer =
         std::make_shared<JsonTracer>(settings.vm.str(), trace_, SystemSeed());
   }
@@ -67,6 +86,7 @@
       return bound;
     }
     control_.Start(bound.value());
+    ledger_controller_.Start();
     CUMIN_LOG(info) << "listening on " << bound.value();
     return bound;
   }
@@ -81,6 +101,7 @@
     // Callers see the readiness flip and turn away while they are served.
     WaitUntil(start + notice, [] { return false; });
     board_.refuses_callers = true;
+    ledger_controller_.Leave(kHandoverLimit);
     WaitUntil(start + board_.settings.drain_limit, [this] {
       const bool target_done = board_.gate.AdvanceDrain() == DrainStep::kEnded;
       return target_done && front_.active_calls() == 0;
@@ -107,10 +128,13 @@
   SuspectNotifier notifier_;
   OwnerPath owner_;
   RemotePath remote_;
+  LedgerTable ledger_;
+  OrderPath orders_;
   IngressPath ingress_;
   JsonRpcDispatcher dispatcher_;
   Front front_;
   ControlPlane control_;
+  LedgerController ledger_controller_;
   HttpServer server_;
 };
 
--- a/modules/cumin_proxy/daemon_settings.cc
+++ b/modules/cumin_proxy/daemon_settings.cc
@@ -14,6 +14,8 @@
 constexpr int kMaxAnnounceTimeoutMs = 60000;
 constexpr int kMinDirectoryLeaseS = 10;
 constexpr int kMaxDirectoryLeaseS = 3600;
+constexpr int kMinLedgerLeaseMs = 1000;
+constexpr int kMaxLedgerLeaseMs = 600000;
 constexpr int kMaxDrainLimitMs = 600000;
 constexpr int kMaxLeaveNoticeMs = 2500;
 
@@ -84,6 +86,9 @@
   settings.directory_lease = std::chrono::seconds(
       root.Int("directory_lease_s", ToMillis(settings.directory_lease) / 1000,
                kMinDirectoryLeaseS, kMaxDirectoryLeaseS));
+  settings.ledger_lease =
+      ReadMillis(root, "ledger_lease_ms", settings.ledger_lease,
+                 kMinLedgerLeaseMs, kMaxLedgerLeaseMs);
   settings.drain_limit = ReadMillis(root, "drain_limit_ms",
                                     settings.drain_limit, 0, kMaxDrainLimitMs);
   settings.leave_notice = ReadMillis(
--- a/modules/cumin_proxy/front.cc
+++ b/modules/cumin_proxy/front.cc
@@ -48,10 +48,11 @@
 }  // namespace
 
 Front::Front(Blackboard& board, IngressPath& ingress, OwnerPath& owner,
-             JsonRpcDispatcher& dispatcher)
+             OrderPath& orders, JsonRpcDispatcher& dispatcher)
     : board_(board),
       ingress_(ingress),
       owner_(owner),
+      orders_(orders),
       dispatcher_(dispatcher),
       control_bytes_in_(board.metrics.GetCounter("control_received_bytes")),
       control_bytes_out_(board.metrics.GetCounter("control_sent_bytes")) {}
@@ -115,7 +116,12 @@
     return EncodeResult(
         NotRun(RefusalReason::kBadRequest, Describe(call.error())), attempt);
   }
-  return EncodeResult(owner_.Execute(call.value()), attempt);
+  const bool needs_ledger =
+      call.value().repeatability == Repeatability::kAtMostOnce &&
+      !call.value().is_admitted;
+  return EncodeResult(needs_ledger ? orders_.ExecuteAsOwner(call.value())
+                                   : owner_.Execute(call.value()),
+                      attempt);
 }
 
 HttpResponse Front::HandleRpc(const HttpRequest& request) {
--- a/modules/cumin_proxy/front.h
+++ b/modules/cumin_proxy/front.h
@@ -20,7 +20,7 @@
  public:
   /** All arguments outlive this object. */
   Front(Blackboard& board, IngressPath& ingress, OwnerPath& owner,
-        JsonRpcDispatcher& dispatcher);
+        OrderPath& orders, JsonRpcDispatcher& dispatcher);
 
   HttpResponse Handle(const HttpRequest& request) override;
 
@@ -37,6 +37,7 @@
   Blackboard& board_;
   IngressPath& ingress_;
   OwnerPath& owner_;
+  OrderPath& orders_;
   JsonRpcDispatcher& dispatcher_;
   std::atomic<int> active_calls_{0};
   Counter& control_bytes_in_;
--- a/modules/cumin_proxy/ingress_path.cc
+++ b/modules/cumin_proxy/ingress_path.cc
@@ -19,10 +19,11 @@
 }  // namespace
 
 IngressPath::IngressPath(Blackboard& board, OwnerPath& owner,
-                         RemotePath& remote)
+                         RemotePath& remote, OrderPath& orders)
     : board_(board),
       owner_(owner),
       remote_(remote),
+      orders_(orders),
       retries_(board.metrics.GetCounter("retries_total")),
       redirects_(board.metrics.GetCounter("redirects_total")) {}
 
@@ -105,6 +106,9 @@
 }
 
 CallResult IngressPath::TryOnce(const Call& call, ChooseRequest* request) {
+  if (call.repeatability == Repeatability::kAtMostOnce) {
+    return orders_.Execute(call);
+  }
   Refusal refusal;
   const std::optional<Member> chosen = board_.router.Choose(
       *request, board_.clock.Now(), board_.random, &refusal);
--- a/modules/cumin_proxy/ingress_path.h
+++ b/modules/cumin_proxy/ingress_path.h
@@ -5,6 +5,7 @@
 #include "cumin_proxy/blackboard.h"
 #include "cumin_proxy/call.h"
 #include "cumin_proxy/call_planner.h"
+#include "cumin_proxy/order_path.h"
 #include "cumin_proxy/owner_path.h"
 #include "cumin_proxy/remote_path.h"
 
@@ -17,8 +18,10 @@
  public:
   /** @param board   outlives this object
       @param owner   the path to this VM's target
-      @param remote  the path to other daemons */
-  IngressPath(Blackboard& board, OwnerPath& owner, RemotePath& remote);
+      @param remote  the path to other daemons
+      @param orders  the path of calls that must run at most once */
+  IngressPath(Blackboard& board, OwnerPath& owner, RemotePath& remote,
+              OrderPath& orders);
 
   /** Answers one caller's request. */
   HttpResponse Handle(const HttpRequest& request);
@@ -32,6 +35,7 @@
   Blackboard& board_;
   OwnerPath& owner_;
   RemotePath& remote_;
+  OrderPath& orders_;
   Counter& retries_;
   Counter& redirects_;
 };
--- a/modules/cumin_proxy/target_client.cc
+++ b/modules/cumin_proxy/target_client.cc
@@ -72,6 +72,12 @@
         Refusal{Verdict::kNotRun, RefusalReason::kDeadlineExpired,
                 "the deadline passed before the start", Duration(0)});
   }
+  if (call.guard != nullptr) {
+    const std::optional<Refusal> refusal = call.guard->CheckDispatch();
+    if (refusal) {
+      return CallResult::Refused(*refusal);
+    }
+  }
   const Duration left = call.deadline - now;
   HttpRequest request = call.request;
   request.headers.Set(kTraceHeader, trace_parent);
