New member changes gossip at once, within a budget

Cause: a target's announcement rode on one probe a second only, so six daemons took about 8 s to learn all targets of a fresh mesh. Ruled out: configuration not in force (status said 6 of 6) and the owner refusing (the reason was no-target at the ingress, not target-starting).

--- a/modules/cumin_fleet/cumin_fleet.h
+++ b/modules/cumin_fleet/cumin_fleet.h
@@ -20,6 +20,7 @@
 #include "cumin_fleet/gather_plan.h"
 #include "cumin_fleet/gossip_exchange.h"
 #include "cumin_fleet/gossip_message.h"
+#include "cumin_fleet/gossip_pacer.h"
 #include "cumin_fleet/gossip_queue.h"
 #include "cumin_fleet/member.h"
 #include "cumin_fleet/member_table.h"
--- a/modules/cumin_fleet/gossip_queue.cc
+++ b/modules/cumin_fleet/gossip_queue.cc
@@ -63,6 +63,10 @@
   items_.erase(it);
 }
 
+bool GossipQueue::HasFresh() const {
+  return !order_.empty() && order_.begin()->sent < settings_.eager_sends;
+}
+
 int GossipQueue::RetransmitLimit(std::size_t member_count) const {
   const double scale = std::log10(static_cast<double>(member_count) + 1.0);
   return std::max(
--- a/modules/cumin_fleet/gossip_queue.h
+++ b/modules/cumin_fleet/gossip_queue.h
@@ -15,6 +15,8 @@
   int retransmit_factor = 3;
   /** Changes in one message at most. */
   std::size_t max_updates = 8;
+  /** How often a change is sent before it counts as no longer fresh. */
+  int eager_sends = 3;
   /** Bytes of changes in one message at most. */
   std::size_t max_bytes = 420;
 };
@@ -40,6 +42,10 @@
       @returns the changes, within the limits */
   std::vector<Member> Take(std::size_t member_count);
 
+  /** @returns true when a change waits that was sent fewer times than
+      `eager_sends` */
+  bool HasFresh() const;
+
   /** @returns how many changes wait */
   std::size_t size() const { return items_.size(); }
 
--- a/modules/cumin_proxy/fleet_controller.cc
+++ b/modules/cumin_proxy/fleet_controller.cc
@@ -58,7 +58,7 @@
 
 void FleetController::Leave() {
   state_.Leave();
-  GreetPeers();
+  GreetPeers(kGreetings);
 }
 
 Duration FleetController::Step() {
@@ -68,6 +68,9 @@
     Carry(it);
   }
   KeepJoined(now);
+  if (state_.TakeExtraGossip()) {
+    pool_.Post([this] { GreetPeers(1); });
+  }
   if (board_.settings.spread == SpreadMode::kTree) {
     spreader_.Repair();
   }
@@ -178,7 +181,7 @@
     }
   }
   if (joined) {
-    GreetPeers();
+    GreetPeers(kGreetings);
   }
   const auto plan = state_.Plan();
   if (listed && plan->FetcherRank(board_.settings.vm) == 0) {
@@ -223,13 +226,13 @@
   return joined;
 }
 
-void FleetController::GreetPeers() {
+void FleetController::GreetPeers(std::size_t count) {
   std::vector<Member> peers = state_.Live();
   const VmId self = board_.settings.vm;
   peers.erase(std::remove_if(peers.begin(), peers.end(),
                              [&](const Member& it) { return it.vm == self; }),
               peers.end());
-  for (std::size_t i = 0; i < kGreetings && !peers.empty(); ++i) {
+  for (std::size_t i = 0; i < count && !peers.empty(); ++i) {
     const std::size_t chosen = board_.random.Below(peers.size());
     (void)Ping(peers[chosen], kProbeTimeout);
     peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(chosen));
--- a/modules/cumin_proxy/fleet_controller.h
+++ b/modules/cumin_proxy/fleet_controller.h
@@ -46,7 +46,7 @@
   void KeepJoined(MonoTime now);
   void Join();
   bool JoinThrough(const Member& contact);
-  void GreetPeers();
+  void GreetPeers(std::size_t count);
 
   Result<Json::Value> OnPing(const Json::Value& parameters);
   Result<Json::Value> OnPingRequest(const Json::Value& parameters);
--- a/modules/cumin_proxy/fleet_state.cc
+++ b/modules/cumin_proxy/fleet_state.cc
@@ -38,6 +38,7 @@
       config_(config),
       table_(self, MemberTableSettings{}),
       queue_(GossipSettings{}),
+      pacer_(GossipPacerSettings{}),
       exchange_(table_, queue_),
       detector_(table_, DetectorSettings{}),
       anti_entropy_(AntiEntropySettings{}),
@@ -69,6 +70,11 @@
   return actions;
 }
 
+bool FleetState::TakeExtraGossip() {
+  const Guard lock(mutex_);
+  return pacer_.Take(board_.clock.Now(), queue_.HasFresh());
+}
+
 GossipMessage FleetState::Compose(const VmId& to) {
   const Guard lock(mutex_);
   GossipMessage message = exchange_.Compose(to);
--- a/modules/cumin_proxy/fleet_state.h
+++ b/modules/cumin_proxy/fleet_state.h
@@ -11,6 +11,7 @@
 #include "cumin_fleet/failure_detector.h"
 #include "cumin_fleet/gather_plan.h"
 #include "cumin_fleet/gossip_exchange.h"
+#include "cumin_fleet/gossip_pacer.h"
 #include "cumin_fleet/spread_plan.h"
 #include "cumin_proxy/blackboard.h"
 #include "cumin_proxy/config_holder.h"
@@ -38,6 +39,10 @@
       @returns what to send now */
   std::vector<DetectorAction> Tick();
 
+  /** @returns true when a message beyond the regular probes is to be sent now
+   */
+  bool TakeExtraGossip();
+
   /** @returns the message to send to a peer */
   GossipMessage Compose(const VmId& to);
 
@@ -115,6 +120,7 @@
   mutable std::mutex mutex_;
   MemberTable table_;
   GossipQueue queue_;
+  GossipPacer pacer_;
   GossipExchange exchange_;
   FailureDetector detector_;
   AntiEntropy anti_entropy_;
