--- a/modules/cumin_proxy/daemon.cc
+++ b/modules/cumin_proxy/daemon.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -10,12 +11,12 @@
 #include "cumin_core/logging.h"
 #include "cumin_core/tracing.h"
 #include "cumin_proxy/blackboard.h"
-#include "cumin_proxy/config_controller.h"
-#include "cumin_proxy/fleet_controller.h"
+#include "cumin_proxy/control_plane.h"
 #include "cumin_proxy/front.h"
 #include "cumin_proxy/ingress_path.h"
 #include "cumin_proxy/owner_path.h"
 #include "cumin_proxy/remote_path.h"
+#include "cumin_proxy/suspect_notifier.h"
 #include "cumin_store/http_store.h"
 
 namespace cumin {
@@ -48,11 +49,14 @@
                std::ios::app),
         board_(settings, clock_, SystemSeed()),
         store_(settings.store, kStoreTimeout),
-        owner_(board_),
+        notifier_(board_),
+        owner_(board_, notifier_),
         remote_(board_),
         ingress_(board_, owner_, remote_),
         front_(board_, ingress_, owner_, dispatcher_),
+        control_(board_, store_, dispatcher_),
         server_(front_, ServerOptions(settings)) {
+    notifier_.Register(dispatcher_);
     board_.tracer =
         std::make_shared<JsonTracer>(settings.vm.str(), trace_, SystemSeed());
   }
@@ -62,43 +66,52 @@
     if (!bound) {
       return bound;
     }
-    config_ = std::make_unique<ConfigController>(board_, store_);
-    fleet_ = std::make_unique<FleetController>(board_, store_, bound.value());
-    config_->Start();
-    fleet_->Start();
+    control_.Start(bound.value());
     CUMIN_LOG(info) << "listening on " << bound.value();
     return bound;
   }
 
   int Drain() {
+    const MonoTime start = clock_.Now();
+    const Duration notice =
+        std::min(board_.settings.leave_notice, board_.settings.drain_limit);
     board_.leaving = true;
+    board_.gate.BeginLeave(notice);
     CUMIN_LOG(info) << "draining " << front_.active_calls() << " calls";
-    const MonoTime end = clock_.Now() + board_.settings.drain_limit;
-    while (front_.active_calls() > 0 && clock_.Now() < end) {
-      std::this_thread::sleep_for(kDrainPoll);
-    }
+    // Callers see the readiness flip and turn away while they are served.
+    WaitUntil(start + notice, [] { return false; });
+    board_.refuses_callers = true;
+    WaitUntil(start + board_.settings.drain_limit, [this] {
+      const bool target_done = board_.gate.AdvanceDrain() == DrainStep::kEnded;
+      return target_done && front_.active_calls() == 0;
+    });
     const int cut = front_.active_calls();
-    fleet_->Stop();
-    fleet_->Leave();
-    config_->Stop();
+    control_.Leave();
     server_.Stop();
     CUMIN_LOG(info) << "ended, " << cut << " calls cut";
     return cut;
   }
 
  private:
+  template <typename Condition>
+  void WaitUntil(MonoTime end, Condition&& condition) {
+    while (clock_.Now() < end && !condition()) {
+      std::this_thread::sleep_for(kDrainPoll);
+    }
+  }
+
   SystemClock clock_;
   std::ofstream trace_;
   Blackboard board_;
   HttpStore store_;
+  SuspectNotifier notifier_;
   OwnerPath owner_;
   RemotePath remote_;
   IngressPath ingress_;
   JsonRpcDispatcher dispatcher_;
   Front front_;
+  ControlPlane control_;
   HttpServer server_;
-  std::unique_ptr<ConfigController> config_;
-  std::unique_ptr<FleetController> fleet_;
 };
 
 Daemon::Daemon(const DaemonSettings& settings)
