Rate split exchanged between daemons through one coordinator a customer

Cause: RateShare's reports were made and never sent, so each daemon would have allowed the whole rate after its warm-up. Weighed: every daemon tells every other (grows with the square of the fleet), gossip (a report of each daemon to all, too many bytes at 1,400), the store (a write a second for each daemon). Chosen: the daemon that ranks first for the customer by rendezvous hashing adds up; state there is soft and ages out. Not measured yet.

--- /dev/null
+++ b/modules/cumin_admission/demand_board.cc
@@ -0,0 +1,27 @@
+#include "cumin_admission/demand_board.h"
+
+#include <iterator>
+
+namespace cumin {
+
+double DemandBoard::Exchange(const DemandReport& report, MonoTime now) {
+  DemandBySource& demands = customers_[report.customer];
+  demands[report.source] = Demand{report.demand_per_s, now};
+  Forget(&demands, now);
+  double others = 0;
+  for (const auto& [source, demand] : demands) {
+    if (source != report.source) {
+      others += demand.per_s;
+    }
+  }
+  return others;
+}
+
+void DemandBoard::Forget(DemandBySource* demands, MonoTime now) const {
+  for (auto it = demands->begin(); it != demands->end();) {
+    const bool is_stale = now - it->second.heard_at > max_age_;
+    it = is_stale ? demands->erase(it) : std::next(it);
+  }
+}
+
+}  // namespace cumin
--- a/modules/cumin_proxy/control_plane.cc
+++ b/modules/cumin_proxy/control_plane.cc
@@ -31,22 +31,26 @@
       spreader_(board, config_, fleet_state_, caller_, pool_),
       status_(board, store, config_, fleet_state_, caller_),
       fleet_controller_(board, store, fleet_state_, caller_, pool_, spreader_),
-      config_controller_(board, store, config_, fleet_state_, spreader_) {
+      config_controller_(board, store, config_, fleet_state_, spreader_),
+      rate_controller_(board, caller_) {
   fleet_controller_.Register(dispatcher);
   spreader_.Register(dispatcher);
   status_.Register(dispatcher);
+  rate_controller_.Register(dispatcher);
 }
 
 void ControlPlane::Start(const Endpoint& endpoint) {
   fleet_state_.SetEndpoint(endpoint);
   fleet_controller_.Start();
   config_controller_.Start();
+  rate_controller_.Start();
 }
 
 void ControlPlane::Leave() {
   fleet_controller_.Stop();
   fleet_controller_.Leave();
   config_controller_.Stop();
+  rate_controller_.Stop();
   pool_.Stop();
 }
 
--- a/modules/cumin_proxy/control_plane.h
+++ b/modules/cumin_proxy/control_plane.h
@@ -7,6 +7,7 @@
 #include "cumin_proxy/fleet_controller.h"
 #include "cumin_proxy/fleet_state.h"
 #include "cumin_proxy/peer_caller.h"
+#include "cumin_proxy/rate_controller.h"
 #include "cumin_proxy/status_service.h"
 #include "cumin_proxy/task_pool.h"
 
@@ -38,6 +39,7 @@
   StatusService status_;
   FleetController fleet_controller_;
   ConfigController config_controller_;
+  RateController rate_controller_;
 };
 
 }  // namespace cumin
--- a/modules/cumin_proxy/fleet_state.cc
+++ b/modules/cumin_proxy/fleet_state.cc
@@ -283,7 +283,7 @@
 }
 
 Duration FleetState::StoreQuietLocked(MonoTime now) const {
-  return std::max(Duration::zero(), Duration(now - store_heard_));
+  return std::max<Duration>(Duration::zero(), now - store_heard_);
 }
 
 }  // namespace cumin
