--- a/modules/cumin_config/acceptance_plan.cc
+++ b/modules/cumin_config/acceptance_plan.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cumin_config/config_candidate.h"
 #include "cumin_config/config_keys.h"
 #include "cumin_core/digest.h"
 #include "cumin_core/json_text.h"
@@ -14,21 +15,6 @@
 /** The most versions that a refusal lists. */
 constexpr std::uint64_t kMaxSince = 10;
 
-/** Refuses texts that would not arrive unchanged at the daemons, such as bytes
-    that are not UTF-8. */
-Result<void> CheckTransport(const ConfigBundle& bundle) {
-  const Result<Json::Value> value = ParseJson(ToJsonText(ToJson(bundle)), "");
-  if (!value) {
-    return value.error();
-  }
-  JsonObject fields(value.value(), "");
-  if (!(ReadConfigBundle(fields) == bundle)) {
-    return Error{ErrorCode::kInvalid, "", 0, "",
-                 "a document, the author or the note is not valid UTF-8"};
-  }
-  return fields.Finish();
-}
-
 }  // namespace
 
 AcceptancePlan::AcceptancePlan(ChangeRequest request, int max_attempts)
@@ -318,24 +304,14 @@
 }
 
 void AcceptancePlan::BuildVersion() {
-  ConfigBundle next;
-  Manifest manifest;
-  for (auto& [name, text] : texts_) {
-    manifest.push_back({name, Sha256Hex(text)});
-    next.parts.push_back({name, std::move(text)});
-  }
   const HeadRecord* previous = head_ ? &*head_ : nullptr;
-  next.head = MakeHeadRecord(outcome_.change, previous, std::move(manifest));
-  const Result<RefPtr<const ConfigSnapshot>> snapshot = MakeSnapshot(next);
-  if (!snapshot) {
-    FinishWithError(AcceptanceResult::kInvalid, snapshot.error());
-    return;
-  }
-  const Result<void> transported = CheckTransport(next);
-  if (!transported) {
-    FinishWithError(AcceptanceResult::kInvalid, transported.error());
+  const Result<ConfigBundle> candidate =
+      MakeCandidate(outcome_.change, previous, texts_);
+  if (!candidate) {
+    FinishWithError(AcceptanceResult::kInvalid, candidate.error());
     return;
   }
+  const ConfigBundle& next = candidate.value();
   if (head_ && next.head.change.changed_parts.empty()) {
     FinishWithError(
         AcceptanceResult::kInvalid,
--- a/modules/cumin_config/acceptance_plan.h
+++ b/modules/cumin_config/acceptance_plan.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -9,6 +8,7 @@
 #include "cumin_config/acceptance_outcome.h"
 #include "cumin_config/change_request.h"
 #include "cumin_config/config_bundle.h"
+#include "cumin_config/config_candidate.h"
 #include "cumin_core/error.h"
 #include "cumin_store/store.h"
 
@@ -124,7 +124,7 @@
   std::uint64_t head_index_ = kAbsentIndex;
 
   /** Texts of the version to be, by part. */
-  std::map<PartName, std::string> texts_;
+  PartTexts texts_;
   /** Parts whose texts are still to be read, last first. */
   Manifest unread_;
   /** Parts to write, last first. */
--- /dev/null
+++ b/modules/cumin_config/config_candidate.cc
@@ -0,0 +1,49 @@
+#include "cumin_config/config_candidate.h"
+
+#include <utility>
+
+#include "cumin_core/digest.h"
+#include "cumin_core/json_text.h"
+
+namespace cumin {
+
+namespace {
+
+/** Sends a bundle through its JSON form, which replaces what is not UTF-8. */
+Result<void> CheckTransport(const ConfigBundle& bundle) {
+  const Result<Json::Value> value = ParseJson(ToJsonText(ToJson(bundle)), "");
+  if (!value) {
+    return value.error();
+  }
+  JsonObject fields(value.value(), "");
+  if (!(ReadConfigBundle(fields) == bundle)) {
+    return Error{ErrorCode::kInvalid, "", 0, "",
+                 "a document, the author or the note is not valid UTF-8"};
+  }
+  return fields.Finish();
+}
+
+}  // namespace
+
+Result<ConfigBundle> MakeCandidate(const ConfigVersionRecord& change,
+                                   const HeadRecord* previous,
+                                   const PartTexts& texts) {
+  ConfigBundle bundle;
+  Manifest manifest;
+  for (const auto& [name, text] : texts) {
+    manifest.push_back({name, Sha256Hex(text)});
+    bundle.parts.push_back({name, text});
+  }
+  bundle.head = MakeHeadRecord(change, previous, std::move(manifest));
+  const Result<RefPtr<const ConfigSnapshot>> snapshot = MakeSnapshot(bundle);
+  if (!snapshot) {
+    return snapshot.error();
+  }
+  const Result<void> transported = CheckTransport(bundle);
+  if (!transported) {
+    return transported.error();
+  }
+  return bundle;
+}
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_config/config_candidate.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "cumin_config/config_bundle.h"
+#include "cumin_core/error.h"
+
+namespace cumin {
+
+/** The texts of a configuration that is to become a version, by part. */
+using PartTexts = std::map<PartName, std::string>;
+
+/** Builds a version and validates it whole, as each daemon will.
+    @param change    who, when and which version; changed parts are filled in
+    @param previous  the version before, or null for the first
+    @param texts     every part of the version
+    @returns the bundle, or the first error; a text that would not reach the
+             daemons unchanged, such as one that is not UTF-8, is an error */
+Result<ConfigBundle> MakeCandidate(const ConfigVersionRecord& change,
+                                   const HeadRecord* previous,
+                                   const PartTexts& texts);
+
+}  // namespace cumin
--- a/modules/cumin_config/cumin_config.h
+++ b/modules/cumin_config/cumin_config.h
@@ -16,6 +16,7 @@
 #include "cumin_config/change_request.h"
 #include "cumin_config/config_acceptor.h"
 #include "cumin_config/config_bundle.h"
+#include "cumin_config/config_candidate.h"
 #include "cumin_config/config_delta.h"
 #include "cumin_config/config_diff.h"
 #include "cumin_config/config_history.h"
--- a/programs/cuminctl/change_commands.cc
+++ b/programs/cuminctl/change_commands.cc
@@ -1,11 +1,10 @@
 #include "cuminctl/change_commands.h"
 
-#include <map>
 #include <thread>
 #include <utility>
 
 #include "cumin_config/config_acceptor.h"
-#include "cumin_core/digest.h"
+#include "cumin_config/config_candidate.h"
 #include "cuminctl/document_files.h"
 
 namespace cumin {
@@ -19,25 +18,18 @@
 };
 
 /** The version that edits on top of a bundle would make. */
-ConfigBundle MakeCandidate(const ConfigBundle& base,
-                           const std::vector<PartEdit>& edits) {
-  std::map<PartName, std::string> texts;
+Result<ConfigBundle> MakeNext(const ConfigBundle& base,
+                              const std::vector<PartEdit>& edits) {
+  PartTexts texts;
   for (const ConfigPart& it : base.parts) {
     texts[it.name] = it.text;
   }
   for (const PartEdit& it : edits) {
     texts[it.name] = *it.text;
   }
-  ConfigBundle candidate;
-  Manifest manifest;
-  for (const auto& [name, text] : texts) {
-    manifest.push_back({name, Sha256Hex(text)});
-    candidate.parts.push_back({name, text});
-  }
   ConfigVersionRecord change;
   change.version = base.head.change.version + 1;
-  candidate.head = MakeHeadRecord(change, &base.head, std::move(manifest));
-  return candidate;
+  return MakeCandidate(change, &base.head, texts);
 }
 
 bool HoldsMesh(const std::vector<PartEdit>& edits) {
@@ -76,9 +68,9 @@
       return output.Fail(newest.error());
     }
   }
-  const auto snapshot = MakeSnapshot(MakeCandidate(base, edits.value()));
-  if (!snapshot) {
-    return output.Fail(snapshot.error());
+  const Result<ConfigBundle> next = MakeNext(base, edits.value());
+  if (!next) {
+    return output.Fail(next.error());
   }
   value["whole"] = true;
   output.Write("The whole configuration would be valid.\n", value);
