--- a/modules/cumin_admission/rate_limiter.h
+++ b/modules/cumin_admission/rate_limiter.h
@@ -32,9 +32,12 @@
   void OnReport(const DemandReport& report, MonoTime now);
 
  private:
+  /** A new bucket is full; its first rate cuts it to the burst. */
+  static constexpr double kUnlimitedBurst = 1e9;
+
   struct CustomerRate {
     explicit CustomerRate(const RateSharePolicy& policy, MonoTime now)
-        : share(policy, now), bucket(0, 1, now) {}
+        : share(policy), bucket(0, kUnlimitedBurst, now) {}
 
     RateShare share;
     TokenBucket bucket;
--- a/modules/cumin_admission/rate_share.cc
+++ b/modules/cumin_admission/rate_share.cc
@@ -9,8 +9,6 @@
 
 /** Time constant of the demand estimate. */
 constexpr double kDemandWindowS = 1;
-/** By then each peer's demand has been heard once, unless it was lost. */
-constexpr int kWarmUpIntervals = 2;
 constexpr double kMicrosPerSecond = 1e6;
 
 }  // namespace
@@ -44,10 +42,8 @@
     const double part = known / (known + peers);
     return rate_per_s * part;
   }
-  const double unclaimed = rate_per_s - known - peers;
-  const bool knows_peers =
-      now - created_at_ >= kWarmUpIntervals * policy_.report_interval;
-  return known + unclaimed * (knows_peers ? 1 : policy_.warm_up_fraction);
+  // What no daemon claims is there for any of them.
+  return rate_per_s - peers;
 }
 
 double RateShare::Demand(MonoTime now) const {
--- a/modules/cumin_admission/rate_share.h
+++ b/modules/cumin_admission/rate_share.h
@@ -30,15 +30,10 @@
   /** Part of newly grown demand that counts before peers can know, from 0 to
       1. */
   double early_fraction = 0.25;
-  /** Part of the unclaimed rate that one daemon may take before it can know
-      its peers' demand, from 0 to 1; all of it afterwards. */
-  double warm_up_fraction = 0.1;
-
   friend bool operator==(const RateSharePolicy& a, const RateSharePolicy& b) {
     return a.report_interval == b.report_interval &&
            a.report_max_age == b.report_max_age &&
-           a.early_fraction == b.early_fraction &&
-           a.warm_up_fraction == b.warm_up_fraction;
+           a.early_fraction == b.early_fraction;
   }
 };
 
@@ -51,10 +46,8 @@
 */
 class RateShare {
  public:
-  /** @param policy  how the rate is split
-      @param now     the time */
-  RateShare(const RateSharePolicy& policy, MonoTime now)
-      : policy_(policy), created_at_(now) {}
+  /** @param policy  how the rate is split */
+  explicit RateShare(const RateSharePolicy& policy) : policy_(policy) {}
 
   /** Counts one offered call. */
   void OnArrival(MonoTime now);
@@ -82,7 +75,6 @@
   double KnownDemand(MonoTime now) const;
 
   RateSharePolicy policy_;
-  MonoTime created_at_;
   double demand_per_s_ = 0;
   MonoTime demand_at_;
   double reported_per_s_ = 0;
--- a/modules/cumin_admission/suspect_table.cc
+++ b/modules/cumin_admission/suspect_table.cc
@@ -17,7 +17,7 @@
                                    const CustomerId& customer,
                                    const OperationId& operation,
                                    const IdempotencyKey& key,
-                                   const std::string& body) {
+                                   const std::string& content) {
   std::string text;
   for (const std::string* it :
        {&service.str(), &customer.str(), &operation.str(), &key.str()}) {
@@ -25,7 +25,7 @@
     text += '\0';
   }
   if (key.empty()) {
-    text += body;
+    text += content;
   }
   return RequestFingerprint{StableHash(text)};
 }
--- a/modules/cumin_admission/suspect_table.h
+++ b/modules/cumin_admission/suspect_table.h
@@ -26,14 +26,14 @@
   }
 };
 
-/** @param key   the caller's idempotency key; when empty, the body counts
-    @param body  the request's body
+/** @param key      the caller's idempotency key; when empty, the content counts
+    @param content  the request's path, query and body
     @returns the fingerprint of the request */
 RequestFingerprint MakeFingerprint(const ServiceId& service,
                                    const CustomerId& customer,
                                    const OperationId& operation,
                                    const IdempotencyKey& key,
-                                   const std::string& body);
+                                   const std::string& content);
 
 /** One crash of one target process. */
 struct TargetCrash {
--- a/modules/cumin_proxy/gate_call.h
+++ b/modules/cumin_proxy/gate_call.h
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 #include "cumin_admission/pending_call.h"
 #include "cumin_admission/suspect_table.h"
@@ -30,13 +31,17 @@
   /** @returns the call's fingerprint, computed at the first use */
   const RequestFingerprint& Fingerprint() {
     if (!fingerprint_) {
-      fingerprint_ =
-          MakeFingerprint(call_.service, call_.customer, call_.operation,
-                          call_.key, call_.request.body);
+      fingerprint_ = MakeFingerprint(call_.service, call_.customer,
+                                     call_.operation, call_.key, Content());
     }
     return *fingerprint_;
   }
 
+  std::string Content() const {
+    return call_.request.path + '?' + call_.request.query + '\n' +
+           call_.request.body;
+  }
+
   const Call& call_;
   PendingCall pending_;
   std::condition_variable decided_;
--- a/tests/admission/rate_limiter_test.cc
+++ b/tests/admission/rate_limiter_test.cc
@@ -181,7 +181,7 @@
   }
 
   void TestSilentPeerAgesOut() {
-    RateShare share(RateSharePolicy{}, kStart);
+    RateShare share(RateSharePolicy{});
     share.OnReport(VmId("peer"), 900, kStart);
     for (int i = 0; i < 3000; ++i) {
       share.OnArrival(kStart + std::chrono::milliseconds(i));
