status says when another daemon knows of more daemons than the report names

A trial with four daemons said "in force on 2 of 2 daemons" with exit status 0 three seconds after their start: the daemon that was asked did not know the other two yet. Each member's report now says how many daemons it knows of, and a report that names fewer is not everywhere in force and says whom to ask. That a daemon learns of others only after some seconds is left to the fleet.

--- a/modules/cumin_config/member_version_report.cc
+++ b/modules/cumin_config/member_version_report.cc
@@ -21,6 +21,7 @@
   value["in_force_since_ms"] = ToUnixMillis(report.in_force_since);
   value["last_heard_ms"] = ToUnixMillis(report.last_heard);
   value["reachable"] = report.reachable;
+  value["known_daemons"] = report.known_daemons;
   return value;
 }
 
@@ -39,6 +40,9 @@
   report.in_force_since = FromUnixMillis(fields.Int("in_force_since_ms"));
   report.last_heard = FromUnixMillis(fields.Int("last_heard_ms"));
   report.reachable = fields.Bool("reachable");
+  if (fields.Has("known_daemons")) {
+    report.known_daemons = fields.Unsigned("known_daemons");
+  }
   return report;
 }
 
--- a/modules/cumin_config/member_version_report.h
+++ b/modules/cumin_config/member_version_report.h
@@ -25,13 +25,16 @@
   WallTime last_heard;
   /** Whether it can be heard now. */
   bool reachable = false;
+  /** How many daemons it knows of, itself included; 0 when it did not say. */
+  std::uint64_t known_daemons = 0;
 
   friend bool operator==(const MemberVersionReport& a,
                          const MemberVersionReport& b) {
     return a.vm == b.vm && a.endpoint == b.endpoint && a.region == b.region &&
            a.failure_domain == b.failure_domain && a.version == b.version &&
            a.in_force_since == b.in_force_since &&
-           a.last_heard == b.last_heard && a.reachable == b.reachable;
+           a.last_heard == b.last_heard && a.reachable == b.reachable &&
+           a.known_daemons == b.known_daemons;
   }
 };
 
--- a/modules/cumin_config/status_report.cc
+++ b/modules/cumin_config/status_report.cc
@@ -44,9 +44,23 @@
   return members;
 }
 
+const MemberVersionReport* FindBetterInformed(const StatusReport& report) {
+  const auto it = std::max_element(
+      report.members.begin(), report.members.end(),
+      [](const MemberVersionReport& a, const MemberVersionReport& b) {
+        return a.known_daemons < b.known_daemons;
+      });
+  if (it == report.members.end() ||
+      it->known_daemons <= report.members.size()) {
+    return nullptr;
+  }
+  return &*it;
+}
+
 bool IsEverywhereInForce(const StatusReport& report) {
   return NewestVersion(report) > 0 && report.store_answered &&
-         !report.members.empty() && Unconfirmed(report).empty();
+         !report.members.empty() && Unconfirmed(report).empty() &&
+         FindBetterInformed(report) == nullptr;
 }
 
 Json::Value ToJson(const StatusReport& report) {
--- a/modules/cumin_config/status_report.h
+++ b/modules/cumin_config/status_report.h
@@ -45,8 +45,14 @@
     force, because they report another or cannot be heard */
 std::vector<MemberVersionReport> Unconfirmed(const StatusReport& report);
 
-/** @returns true when there is a version, the store's head is known, and every
-    known daemon is heard and has the newest version in force */
+/** @returns the member that knows of the most daemons, if it knows of more than
+    the report names; else null. The reporting daemon may have joined only just
+    now, and then it does not know everyone yet. */
+const MemberVersionReport* FindBetterInformed(const StatusReport& report);
+
+/** @returns true when there is a version, the store's head is known, nobody
+    knows of more daemons, and every one is heard and has the newest version in
+    force */
 bool IsEverywhereInForce(const StatusReport& report);
 
 /** @returns which version is in force where, since when, and who has not
--- a/modules/cumin_config/status_text.cc
+++ b/modules/cumin_config/status_text.cc
@@ -96,6 +96,12 @@
       text += UnconfirmedText(it, report);
     }
   }
+  const MemberVersionReport* better = FindBetterInformed(report);
+  if (better != nullptr) {
+    text += "Incomplete: " + better->vm.str() + " knows of " +
+            std::to_string(better->known_daemons) +
+            " daemons. Ask again, or ask that one.\n";
+  }
   if (!report.store_answered) {
     text +=
         "The store does not answer, so a newer version may exist that no "
--- a/modules/cumin_proxy/status_service.cc
+++ b/modules/cumin_proxy/status_service.cc
@@ -117,6 +117,7 @@
   report.in_force_since = config_.Since();
   report.reachable = true;
   report.last_heard = board_.clock.WallNow();
+  report.known_daemons = state_.Expected().size();
   return report;
 }
 
--- a/tests/config/status_report_test.cc
+++ b/tests/config/status_report_test.cc
@@ -35,6 +35,7 @@
   member.in_force_since = Seconds(1);
   member.last_heard = Seconds(50);
   member.reachable = true;
+  member.known_daemons = 3;
   return member;
 }
 
@@ -62,6 +63,7 @@
   CPPUNIT_TEST(TestNamesWhoHasNotConfirmed);
   CPPUNIT_TEST(TestUnreachableIsNotConfirmed);
   CPPUNIT_TEST(TestStoreOut);
+  CPPUNIT_TEST(TestIncompleteReport);
   CPPUNIT_TEST(TestVersionWithoutRecord);
   CPPUNIT_TEST(TestNothingAccepted);
   CPPUNIT_TEST(TestJsonRoundTrip);
@@ -105,6 +107,15 @@
     AssertSays(Describe(report), "The store does not answer");
   }
 
+  void TestIncompleteReport() {
+    StatusReport report = Report();
+    report.members[1].known_daemons = 3;
+    CPPUNIT_ASSERT(IsEverywhereInForce(report));
+    report.members[1].known_daemons = 18;
+    CPPUNIT_ASSERT(!IsEverywhereInForce(report));
+    AssertSays(Describe(report), "Incomplete: vm-2 knows of 18 daemons.");
+  }
+
   void TestVersionWithoutRecord() {
     StatusReport report = Report();
     report.members[0].version = 13;
