--- /dev/null
+++ b/tests/process/small_mesh.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <json/json.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cumin_rpc/http_message.h"
+#include "support/test_mesh.h"
+
+namespace cumin::test {
+
+/** The VMs of a SmallMesh, by position. */
+enum SmallMeshVm : std::size_t {
+  kCatalogueOne,
+  kCatalogueTwo,
+  kOrderdeskOne,
+  kOrderdeskTwo,
+  /** Has a daemon and no target. */
+  kEdge,
+};
+
+/** A TestMesh with two targets of each of two services in three regions, one
+    customer, and a scenario for cuminload. */
+class SmallMesh {
+ public:
+  /** Starts everything and waits until the edge reaches both services. */
+  SmallMesh();
+
+  TestMesh& mesh() { return mesh_; }
+
+  /** @returns an idempotent request of the customer
+      @param item  the last part of the path */
+  static HttpRequest PriceCheck(const std::string& item);
+
+  /** @returns an at-most-once request of the customer, sent first now */
+  static HttpRequest Acceptance(const std::string& key);
+
+  /** Starts cuminload.
+      @param entries  the VMs whose daemons callers use */
+  std::unique_ptr<ChildProcess> StartLoad(
+      const std::vector<std::size_t>& entries);
+
+  /** Waits for the end of cuminload and fails the test unless it passed.
+      @returns its report */
+  Json::Value AwaitPassed(ChildProcess& load);
+
+  /** @returns how many runs of a path or key every target's log shows
+      @param text  occurs in the log's line of a start */
+  int CountStarts(const std::string& text) const;
+
+ private:
+  void AddVm(const std::string& name, const std::string& region,
+             const std::string& service);
+  bool IsServed();
+
+  TestMesh mesh_;
+  int warm_ups_ = 0;
+};
+
+}  // namespace cumin::test
