--- a/modules/cumin_proxy/call.h
+++ b/modules/cumin_proxy/call.h
@@ -5,8 +5,10 @@
 
 #include "cumin_config/mesh.h"
 #include "cumin_core/identifier.h"
+#include "cumin_core/target_load.h"
 #include "cumin_core/time.h"
 #include "cumin_core/verdict.h"
+#include "cumin_proxy/dispatch_guard.h"
 #include "cumin_rpc/http_message.h"
 
 namespace cumin {
@@ -17,6 +19,8 @@
 /** One caller's request on its way to a target. */
 struct Call {
   AttemptId attempt;
+  /** The daemon where the caller's request arrived. */
+  VmId ingress;
   CustomerId customer;
   ServiceId service;
   OperationId operation;
@@ -34,19 +38,11 @@
   std::string trace_parent;
   /** Configuration version that the ingress decided with. */
   std::uint64_t config_version = 0;
-};
-
-/** What a target's owner says of the target with each answer. */
-struct TargetLoad {
-  int in_flight = 0;
-  int queued = 0;
-  int slots = 0;
-  bool leaving = false;
-
-  friend bool operator==(const TargetLoad& a, const TargetLoad& b) {
-    return a.in_flight == b.in_flight && a.queued == b.queued &&
-           a.slots == b.slots && a.leaving == b.leaving;
-  }
+  /** The owner of the key's shard has admitted this attempt; it goes straight
+      to a target. */
+  bool is_admitted = false;
+  /** Asked right before the call is handed to a target; may be null. */
+  DispatchGuard* guard = nullptr;
 };
 
 /** How a call ended. */
@@ -58,6 +54,9 @@
   Refusal refusal;
   /** The target's load, when its owner told it. */
   std::optional<TargetLoad> load;
+  /** Who owns the key's shard, with RefusalReason::kNotShardOwner; may be
+      empty. */
+  VmId shard_owner;
 
   /** @returns a result without an answer */
   static CallResult Refused(Refusal refusal) {
--- a/modules/cumin_proxy/fleet_state.cc
+++ b/modules/cumin_proxy/fleet_state.cc
@@ -21,6 +21,15 @@
   }
 }
 
+/** The target on this VM; a daemon that ends takes its target with it. */
+std::optional<AnnouncedTarget> OwnTarget(const Blackboard& board) {
+  std::optional<AnnouncedTarget> target = board.target.Current();
+  if (target && board.leaving) {
+    target->state = TargetState::kLeaving;
+  }
+  return target;
+}
+
 }  // namespace
 
 FleetState::FleetState(Blackboard& board, ConfigHolder& config,
@@ -29,6 +38,7 @@
       config_(config),
       table_(self, MemberTableSettings{}),
       queue_(GossipSettings{}),
+      pacer_(GossipPacerSettings{}),
       exchange_(table_, queue_),
       detector_(table_, DetectorSettings{}),
       anti_entropy_(AntiEntropySettings{}),
@@ -48,7 +58,7 @@
 std::vector<DetectorAction> FleetState::Tick() {
   const Guard lock(mutex_);
   const MonoTime now = board_.clock.Now();
-  table_.SetTarget(board_.target.Current(), now);
+  table_.SetTarget(OwnTarget(board_), now);
   table_.Expire(now);
   std::vector<DetectorAction> actions = detector_.Tick(now, board_.random);
   readiness_.SetKnownPeers(table_.live_count() - 1);
@@ -60,6 +70,11 @@
   return actions;
 }
 
+bool FleetState::TakeExtraGossip() {
+  const Guard lock(mutex_);
+  return pacer_.Take(board_.clock.Now(), queue_.HasFresh());
+}
+
 GossipMessage FleetState::Compose(const VmId& to) {
   const Guard lock(mutex_);
   GossipMessage message = exchange_.Compose(to);
@@ -268,7 +283,7 @@
 }
 
 Duration FleetState::StoreQuietLocked(MonoTime now) const {
-  return std::max(Duration::zero(), Duration(now - store_heard_));
+  return std::max<Duration>(Duration::zero(), now - store_heard_);
 }
 
 }  // namespace cumin
