A crashed target has no slots until it announces itself; unavailability fades

After a crash the owner went on to admit calls that then met a closed port, so ingresses spent their retry budget on a target known to be gone; the gate now refuses and reports zero slots until the next announcement.

An ingress that had once been told "leaving" or "no slots" by a daemon whose target came back at the same address would have avoided it until the member's entry changed. The note now counts for a second; asking again costs at most a free redirect.

--- a/modules/cumin_proxy/front.cc
+++ b/modules/cumin_proxy/front.cc
@@ -95,7 +95,7 @@
     return Text(kStatusBadRequest, Describe(target.error()));
   }
   board_.target.Announce(target.value(), board_.clock.Now());
-  owner_.UpdateTarget();
+  owner_.OnAnnouncement();
   return Text(200, "announced");
 }
 
--- a/modules/cumin_proxy/owner_path.cc
+++ b/modules/cumin_proxy/owner_path.cc
@@ -54,6 +54,11 @@
   return result;
 }
 
+void OwnerPath::OnAnnouncement() {
+  board_.gate.OnAnnouncement();
+  UpdateTarget();
+}
+
 void OwnerPath::UpdateTarget() {
   board_.gate.SetTarget(board_.target.Current());
 }
@@ -91,8 +96,15 @@
 
 CallResult OwnerPath::Run(GateCall& entered, const AnnouncedTarget& target) {
   CallResult result = client_.Execute(entered.call(), target);
-  if (result.verdict != Verdict::kMayHaveRun ||
-      result.refusal.reason != RefusalReason::kTargetFailed) {
+  const RefusalReason reason = result.refusal.reason;
+  const bool has_crashed = result.verdict == Verdict::kMayHaveRun &&
+                           reason == RefusalReason::kTargetFailed;
+  const bool is_gone =
+      result.verdict == Verdict::kNotRun && reason == RefusalReason::kNoTarget;
+  if (has_crashed || is_gone) {
+    board_.gate.OnTargetUnreachable();
+  }
+  if (!has_crashed) {
     return result;
   }
   const std::vector<SuspectRecord> records = board_.gate.OnTargetCrash(entered);
--- a/modules/cumin_proxy/owner_path.h
+++ b/modules/cumin_proxy/owner_path.h
@@ -17,10 +17,11 @@
 
   CallResult Execute(const Call& call) override;
 
-  /** Passes on what the target announced last. */
-  void UpdateTarget();
+  /** The target has announced itself. */
+  void OnAnnouncement();
 
  private:
+  void UpdateTarget();
   CallResult Admit(const Call& call);
   CallResult Run(GateCall& entered, const AnnouncedTarget& target);
 
--- a/modules/cumin_proxy/target_gate.cc
+++ b/modules/cumin_proxy/target_gate.cc
@@ -151,6 +151,19 @@
   return records;
 }
 
+void TargetGate::OnTargetUnreachable() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  is_unreachable_ = true;
+  queue_.RefuseWaiting(RefusalReason::kNoTarget, "the target is gone");
+  UpdateSlots(clock_.Now());
+}
+
+void TargetGate::OnAnnouncement() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  is_unreachable_ = false;
+  UpdateSlots(clock_.Now());
+}
+
 void TargetGate::ImportSuspects(const std::vector<SuspectRecord>& records) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const MonoTime now = clock_.Now();
@@ -182,6 +195,9 @@
         RefusalReason::kNoTarget,
         "this VM has no target of service " + call.call().service.str());
   }
+  if (is_unreachable_) {
+    return NotRun(RefusalReason::kNoTarget, "the target is gone");
+  }
   if (!drain_.AcceptsWork()) {
     return NotRun(RefusalReason::kTargetLeaving, "the target is leaving");
   }
@@ -256,7 +272,8 @@
 }
 
 void TargetGate::UpdateSlots(MonoTime now) {
-  const bool takes_work = target_ && target_->state != TargetState::kStarting;
+  const bool takes_work =
+      target_ && !is_unreachable_ && target_->state != TargetState::kStarting;
   const int slots =
       takes_work ? slow_start_.UsableSlots(target_->slots, now) : 0;
   if (slots != queue_.usable_slots()) {
--- a/modules/cumin_proxy/target_gate.h
+++ b/modules/cumin_proxy/target_gate.h
@@ -63,6 +63,13 @@
       crash was noted before */
   std::vector<SuspectRecord> OnTargetCrash(const GateCall& call);
 
+  /** Nothing listens at the target's address; until its next announcement
+      there is no target. */
+  void OnTargetUnreachable();
+
+  /** The target announced itself, with or without a change. */
+  void OnAnnouncement();
+
   /** Takes in another daemon's records. */
   void ImportSuspects(const std::vector<SuspectRecord>& records);
 
@@ -96,6 +103,7 @@
   SlowStart slow_start_;
   SuspectTable suspects_;
   std::optional<AnnouncedTarget> target_;
+  bool is_unreachable_ = false;
   bool daemon_leaves_ = false;
   std::uint64_t target_process_ = 0;
   boost::intrusive::list<GateCall> running_;
--- a/modules/cumin_routing/target_chooser.cc
+++ b/modules/cumin_routing/target_chooser.cc
@@ -11,6 +11,9 @@
 
 /** Time constant with which reported load fades. */
 constexpr Duration kLoadFadeTime = std::chrono::seconds(2);
+/** A target that took no work is asked again after this time; a process that
+    took its place may be ready. */
+constexpr Duration kUnavailableFor = std::chrono::seconds(1);
 /** At this many calls a slot a target counts as full. */
 constexpr double kFullPressure = 1.0;
 constexpr Duration kNoTargetRetryAfter = std::chrono::milliseconds(500);
@@ -104,7 +107,7 @@
   return it == targets_.end() ? 0 : it->second.own_in_flight;
 }
 
-bool TargetChooser::MayTakeWork(const Target& target) {
+bool TargetChooser::MayTakeWork(const Target& target, MonoTime now) {
   const Member& member = target.member;
   if (member.state == MemberState::kDead ||
       member.state == MemberState::kLeft) {
@@ -114,8 +117,9 @@
       member.target->slots <= 0) {
     return false;
   }
-  return !target.has_load ||
-         (!target.load.leaving && target.load.usable_slots > 0);
+  const bool took_work = !target.load.leaving && target.load.usable_slots > 0;
+  return !target.has_load || took_work ||
+         now - target.loaded_at >= kUnavailableFor;
 }
 
 TargetChooser::Distance TargetChooser::DistanceTo(const Target& target) const {
@@ -137,7 +141,7 @@
   const double others =
       target.load.in_flight + target.load.queued - target.own_at_load;
   const double faded = std::max(0.0, others) * std::exp(-age);
-  return (faded + target.own_in_flight) / target.load.usable_slots;
+  return (faded + target.own_in_flight) / std::max(1, target.load.usable_slots);
 }
 
 std::vector<TargetChooser::Target*> TargetChooser::Candidates(
@@ -151,7 +155,7 @@
   }
   for (const VmId& vm : service->second) {
     Target& target = targets_.at(vm);
-    if (!MayTakeWork(target)) {
+    if (!MayTakeWork(target, now)) {
       continue;
     }
     *has_any = true;
--- a/modules/cumin_routing/target_chooser.h
+++ b/modules/cumin_routing/target_chooser.h
@@ -35,7 +35,8 @@
     Among the nearest targets with room it draws two and takes the less loaded;
     farther ones are used only when the nearer are at their limit. Leaving,
     starting and zero-slot targets are never chosen. Load known from an answer
-    fades with its age; the calls that this daemon has in flight count exactly.
+    fades with its age, and so does that a target took no work then; the calls
+   that this daemon has in flight count exactly.
 */
 class TargetChooser {
  public:
@@ -86,7 +87,7 @@
 
   enum class Distance { kFailureDomain, kRegion, kElsewhere };
 
-  static bool MayTakeWork(const Target& target);
+  static bool MayTakeWork(const Target& target, MonoTime now);
   Distance DistanceTo(const Target& target) const;
   static double Pressure(const Target& target, MonoTime now);
   std::vector<Target*> Candidates(const ChooseRequest& request, MonoTime now,
--- a/tests/routing/target_chooser_test.cc
+++ b/tests/routing/target_chooser_test.cc
@@ -175,6 +175,8 @@
     CPPUNIT_ASSERT(refusal.reason == RefusalReason::kNoTarget);
     chooser.SetMembers({member}, kStart);
     CPPUNIT_ASSERT(!chooser.Choose({kService, {}}, kStart, random, &refusal));
+    const MonoTime later = kStart + std::chrono::seconds(1);
+    CPPUNIT_ASSERT(chooser.Choose({kService, {}}, later, random, &refusal));
     member.incarnation += 1;
     chooser.SetMembers({member}, kStart);
     CPPUNIT_ASSERT(chooser.Choose({kService, {}}, kStart, random, &refusal));
