--- a/tests/process/fault_test.cc
+++ b/tests/process/fault_test.cc
@@ -41,7 +41,7 @@
  public:
   void TestTruncatedAnswerIsNotDelivered() {
     SmallMesh small;
-    test::ProcessMesh& mesh = small.mesh();
+    test::TestMesh& mesh = small.mesh();
     for (const std::size_t vm : {test::kOrderdeskOne, test::kOrderdeskTwo}) {
       mesh.ControlTarget(vm, R"({"truncate":1})");
     }
@@ -53,7 +53,7 @@
 
   void TestCallThatCrashesTargetsIsStopped() {
     SmallMesh small;
-    test::ProcessMesh& mesh = small.mesh();
+    test::TestMesh& mesh = small.mesh();
     for (const std::size_t vm : {test::kCatalogueOne, test::kCatalogueTwo}) {
       mesh.ControlTarget(vm, R"({"crash_on":"deadly"})");
     }
@@ -72,7 +72,7 @@
 
   void TestSilentConnectionsAreFound() {
     SmallMesh small;
-    test::ProcessMesh& mesh = small.mesh();
+    test::TestMesh& mesh = small.mesh();
     for (const std::size_t vm : {test::kCatalogueOne, test::kCatalogueTwo}) {
       mesh.ControlTarget(vm, R"({"silent":true})");
     }
@@ -99,7 +99,7 @@
   }
 
  private:
-  static void RestartCrashedTargets(test::ProcessMesh& mesh) {
+  static void RestartCrashedTargets(test::TestMesh& mesh) {
     for (const std::size_t vm : {test::kCatalogueOne, test::kCatalogueTwo}) {
       if (!mesh.target(vm).IsRunning()) {
         mesh.RestartTarget(vm);
@@ -108,7 +108,7 @@
     }
   }
 
-  static bool IsServed(test::ProcessMesh& mesh) {
+  static bool IsServed(test::TestMesh& mesh) {
     const auto answer = mesh.Call(test::kEdge, SmallMesh::PriceCheck("ok"));
     return answer && answer.value().status == kStatusOk;
   }
--- a/tests/process/serving_test.cc
+++ b/tests/process/serving_test.cc
@@ -37,7 +37,7 @@
         {test::kCatalogueTwo, test::kOrderdeskOne, test::kEdge});
     CPPUNIT_ASSERT(
         test::WaitUntil([&] { return small.CountStarts("/prices/coil") > 0; }));
-    test::ProcessMesh& mesh = small.mesh();
+    test::TestMesh& mesh = small.mesh();
     mesh.target(test::kCatalogueOne).Terminate();
     AssertEndedCleanly(mesh.target(test::kCatalogueOne));
     mesh.daemon(test::kCatalogueOne).Terminate();
--- a/tests/process/small_mesh.cc
+++ b/tests/process/small_mesh.cc
@@ -126,7 +126,7 @@
 
 void SmallMesh::AddVm(const std::string& name, const std::string& region,
                       const std::string& service) {
-  ProcessVm vm;
+  TestVm vm;
   vm.name = name;
   vm.region = region;
   vm.failure_domain = region + "-a";
--- a/tests/process/small_mesh.h
+++ b/tests/process/small_mesh.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "cumin_rpc/http_message.h"
-#include "support/process_mesh.h"
+#include "support/test_mesh.h"
 
 namespace cumin::test {
 
@@ -22,14 +22,14 @@
   kEdge,
 };
 
-/** A ProcessMesh with two targets of each of two services in three regions, one
+/** A TestMesh with two targets of each of two services in three regions, one
     customer, and a scenario for cuminload. */
 class SmallMesh {
  public:
   /** Starts everything and waits until the edge reaches both services. */
   SmallMesh();
 
-  ProcessMesh& mesh() { return mesh_; }
+  TestMesh& mesh() { return mesh_; }
 
   /** @returns an idempotent request of the customer
       @param item  the last part of the path */
@@ -56,7 +56,7 @@
              const std::string& service);
   bool IsServed();
 
-  ProcessMesh mesh_;
+  TestMesh mesh_;
   int warm_ups_ = 0;
 };
 
--- a/tests/support/process_mesh.cc
+++ b/tests/support/test_mesh.cc
@@ -1,4 +1,4 @@
-#include "support/process_mesh.h"
+#include "support/test_mesh.h"
 
 #include <sstream>
 #include <stdexcept>
@@ -28,16 +28,16 @@
 
 }  // namespace
 
-ProcessMesh::ProcessMesh() {
+TestMesh::TestMesh() {
   store_ = Start({ProgramPath("tests/store_standin"), "--listen", kAnyPort},
                  "store");
   store_endpoint_ = AwaitAddress(*store_);
 }
 
-ProcessMesh::~ProcessMesh() = default;
+TestMesh::~TestMesh() = default;
 
-AcceptanceOutcome ProcessMesh::Publish(std::uint64_t based_on,
-                                       std::vector<PartEdit> edits) {
+AcceptanceOutcome TestMesh::Publish(std::uint64_t based_on,
+                                    std::vector<PartEdit> edits) {
   HttpStore store(store_endpoint_, kStoreTimeout);
   SleepingWaiter waiter;
   SeededRandom random(kSeed + based_on);
@@ -52,7 +52,7 @@
   return acceptor.Accept(std::move(request));
 }
 
-std::size_t ProcessMesh::Add(const ProcessVm& vm) {
+std::size_t TestMesh::Add(const TestVm& vm) {
   RunningVm running;
   running.description = vm;
   running.address = Endpoint{"127.0.0.1", 0};
@@ -64,11 +64,11 @@
   return vms_.size() - 1;
 }
 
-void ProcessMesh::RestartDaemon(std::size_t vm) { StartDaemon(vms_[vm]); }
+void TestMesh::RestartDaemon(std::size_t vm) { StartDaemon(vms_[vm]); }
 
-void ProcessMesh::RestartTarget(std::size_t vm) { StartTarget(vms_[vm]); }
+void TestMesh::RestartTarget(std::size_t vm) { StartTarget(vms_[vm]); }
 
-bool ProcessMesh::WaitUntilReady() {
+bool TestMesh::WaitUntilReady() {
   HttpRequest ready;
   ready.path = "/-/ready";
   return WaitUntil([&] {
@@ -82,18 +82,18 @@
   });
 }
 
-Result<HttpResponse> ProcessMesh::Send(const Endpoint& to,
-                                       const HttpRequest& request) {
+Result<HttpResponse> TestMesh::Send(const Endpoint& to,
+                                    const HttpRequest& request) {
   HttpClient client(to);
   return client.Exchange(request, kCallTimeout, ConnectionUse::kFreshOnly);
 }
 
-Result<HttpResponse> ProcessMesh::Call(std::size_t vm,
-                                       const HttpRequest& request) {
+Result<HttpResponse> TestMesh::Call(std::size_t vm,
+                                    const HttpRequest& request) {
   return Send(vms_[vm].address, request);
 }
 
-void ProcessMesh::ControlTarget(std::size_t vm, const std::string& json) {
+void TestMesh::ControlTarget(std::size_t vm, const std::string& json) {
   HttpRequest request;
   request.method = "PUT";
   request.path = "/-/target/control";
@@ -101,7 +101,7 @@
   Send(vms_[vm].target_address, request).value();
 }
 
-void ProcessMesh::ControlStore(const std::string& json) {
+void TestMesh::ControlStore(const std::string& json) {
   HttpRequest request;
   request.method = "PUT";
   request.path = "/standin/fault";
@@ -109,18 +109,18 @@
   Send(store_endpoint_, request).value();
 }
 
-std::string ProcessMesh::RunLog(std::size_t vm) const {
+std::string TestMesh::RunLog(std::size_t vm) const {
   return directory_.File(vms_[vm].description.name + ".runs");
 }
 
-std::unique_ptr<ChildProcess> ProcessMesh::StartProgram(
+std::unique_ptr<ChildProcess> TestMesh::StartProgram(
     const std::string& name, const std::vector<std::string>& arguments) {
   std::vector<std::string> command{ProgramPath(name)};
   command.insert(command.end(), arguments.begin(), arguments.end());
   return Start(command, name + std::to_string(programs_started_++) + ".out");
 }
 
-std::unique_ptr<ChildProcess> ProcessMesh::Start(
+std::unique_ptr<ChildProcess> TestMesh::Start(
     const std::vector<std::string>& command, const std::string& output) {
   Result<std::unique_ptr<ChildProcess>> started =
       ChildProcess::Start(command, directory_.File(output));
@@ -130,7 +130,7 @@
   return std::move(started.value());
 }
 
-Endpoint ProcessMesh::AwaitAddress(ChildProcess& process) {
+Endpoint TestMesh::AwaitAddress(ChildProcess& process) {
   const std::string line = process.FirstLine();
   const bool listening = line.rfind(kListening, 0) == 0;
   const Result<Endpoint> address =
@@ -142,7 +142,7 @@
   return address.value();
 }
 
-void ProcessMesh::WriteSettings(RunningVm& vm) {
+void TestMesh::WriteSettings(RunningVm& vm) {
   std::ostringstream text;
   text << "vm: " << vm.description.name << "\nregion: " << vm.description.region
        << "\nfailure_domain: " << vm.description.failure_domain
@@ -156,14 +156,14 @@
       directory_.Write(vm.description.name + ".yaml", text.str());
 }
 
-void ProcessMesh::StartDaemon(RunningVm& vm) {
+void TestMesh::StartDaemon(RunningVm& vm) {
   WriteSettings(vm);
   vm.daemon = Start({ProgramPath("cumind"), "--settings", vm.settings_file},
                     vm.description.name + ".daemon");
   vm.address = AwaitAddress(*vm.daemon);
 }
 
-void ProcessMesh::StartTarget(RunningVm& vm) {
+void TestMesh::StartTarget(RunningVm& vm) {
   std::ostringstream daemon;
   daemon << vm.address;
   std::vector<std::string> command{
--- a/tests/support/process_mesh.h
+++ b/tests/support/test_mesh.h
@@ -15,8 +15,8 @@
 
 namespace cumin::test {
 
-/** One VM of a ProcessMesh: a daemon and perhaps a target. */
-struct ProcessVm {
+/** One VM of a TestMesh: a daemon and perhaps a target. */
+struct TestVm {
   std::string name;
   std::string region = "perth";
   std::string failure_domain = "perth-a";
@@ -34,14 +34,14 @@
     Everything is ended with this object. Failures to start are thrown as
     std::runtime_error with the process's standard error.
 */
-class ProcessMesh {
+class TestMesh {
  public:
   /** Starts the store, with no configuration in it. */
-  ProcessMesh();
-  ~ProcessMesh();
+  TestMesh();
+  ~TestMesh();
 
-  ProcessMesh(const ProcessMesh&) = delete;
-  ProcessMesh& operator=(const ProcessMesh&) = delete;
+  TestMesh(const TestMesh&) = delete;
+  TestMesh& operator=(const TestMesh&) = delete;
 
   /** Makes a change the next configuration version.
       @param based_on  the version before
@@ -51,7 +51,7 @@
 
   /** Starts a VM's processes.
       @returns its position */
-  std::size_t Add(const ProcessVm& vm);
+  std::size_t Add(const TestVm& vm);
 
   /** Starts the daemon of a VM again, at the same address, after it ended. */
   void RestartDaemon(std::size_t vm);
@@ -92,7 +92,7 @@
 
  private:
   struct RunningVm {
-    ProcessVm description;
+    TestVm description;
     std::string settings_file;
     Endpoint address;
     Endpoint target_address;
