--- a/modules/cumin_fleet/gossip_exchange.cc
+++ b/modules/cumin_fleet/gossip_exchange.cc
@@ -42,8 +42,11 @@
                                        MonoTime now) {
   AbsorbedMessage absorbed;
   for (const Member& it : message.updates) {
-    if (!table_.Merge(it, MergeSource::kGossip, now)) {
+    const Result<bool> merged = table_.Merge(it, MergeSource::kGossip, now);
+    if (!merged) {
       ++absorbed.refused;
+    } else if (!merged.value()) {
+      queue_.NoteHeard(it, table_.live_count());
     }
   }
   NoteKnownIncarnation(message.known_incarnation, now);
--- a/modules/cumin_fleet/gossip_queue.cc
+++ b/modules/cumin_fleet/gossip_queue.cc
@@ -37,16 +37,27 @@
   std::vector<Member> members;
   for (Item* it : chosen) {
     members.push_back(it->member);
-    order_.erase(order_.iterator_to(*it));
-    if (++it->sent < limit) {
-      order_.insert(*it);
-    } else {
-      items_.erase(members.back().vm);
-    }
+    CountAsSent(*it, limit);
   }
   return members;
 }
 
+void GossipQueue::NoteHeard(const Member& member, std::size_t member_count) {
+  const auto it = items_.find(member.vm);
+  if (it != items_.end() && it->second.member == member) {
+    CountAsSent(it->second, RetransmitLimit(member_count));
+  }
+}
+
+void GossipQueue::CountAsSent(Item& item, int limit) {
+  order_.erase(order_.iterator_to(item));
+  if (++item.sent < limit) {
+    order_.insert(item);
+  } else {
+    items_.erase(VmId(item.member.vm));
+  }
+}
+
 void GossipQueue::OnMemberChanged(const Member* /*before*/, const Member& after,
                                   MergeSource source) {
   if (source == MergeSource::kGossip) {
--- a/modules/cumin_fleet/gossip_queue.h
+++ b/modules/cumin_fleet/gossip_queue.h
@@ -46,6 +46,12 @@
       `eager_sends` */
   bool HasFresh() const;
 
+  /** A peer told what waits here: it counts as sent once, so that news which
+      most members have dies out early.
+      @param member        as heard
+      @param member_count  as for Take */
+  void NoteHeard(const Member& member, std::size_t member_count);
+
   /** @returns how many changes wait */
   std::size_t size() const { return items_.size(); }
 
@@ -65,6 +71,7 @@
     }
   };
 
+  void CountAsSent(Item& item, int limit);
   int RetransmitLimit(std::size_t member_count) const;
 
   const GossipSettings settings_;
--- a/programs/cuminload/converge_command.cc
+++ b/programs/cuminload/converge_command.cc
@@ -46,7 +46,8 @@
             << it.link_bytes_per_change << " B and "
             << it.link_transfers_per_change << " transfers a change\n"
             << "  store calls: idle " << it.idle_store_calls_s << " /s, "
-            << it.store_calls_per_change << " a change\n"
+            << it.store_calls_per_change << " a change, the operator's "
+            << it.operator_calls_per_change << " not counted\n"
             << "  memory: highest " << it.resident_mb_max << " MB\n";
 }
 
--- a/programs/cuminload/converge_fleet.cc
+++ b/programs/cuminload/converge_fleet.cc
@@ -128,6 +128,7 @@
     const std::string& name, const std::vector<std::string>& command) const {
   const std::string base = layout_.folder + "/" + name;
   std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
   for (const std::string& it : command) {
     arguments.push_back(const_cast<char*>(it.c_str()));
   }
--- a/programs/cuminload/converge_measure.h
+++ b/programs/cuminload/converge_measure.h
@@ -36,7 +36,10 @@
   double link_bytes_per_change = 0;
   double link_transfers_per_change = 0;
   double idle_store_calls_s = 0;
+  /** By the daemons. */
   double store_calls_per_change = 0;
+  /** By the operator, who reads the whole configuration to validate it. */
+  double operator_calls_per_change = 0;
   double resident_mb_max = 0;
 };
 
