--- a/tests/fleet/membership_test.cc
+++ b/tests/fleet/membership_test.cc
@@ -110,6 +110,7 @@
   CPPUNIT_TEST(TestTableIsBounded);
   CPPUNIT_TEST(TestTombstonesExpire);
   CPPUNIT_TEST(TestGossipIsBounded);
+  CPPUNIT_TEST(TestNewsThatPeersHaveDiesOut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -265,6 +266,24 @@
       RC_ASSERT(sent <= n * 7);
     });
   }
+
+  void TestNewsThatPeersHaveDiesOut() {
+    constexpr std::size_t kMembers = 9;
+    constexpr int kTimesSent = 3;
+    GossipQueue queue{GossipSettings{}};
+    const Member newer = SomeMember(2, MemberState::kAlive);
+    queue.Push(newer);
+    for (int i = 0; i < 2 * kTimesSent; ++i) {
+      queue.NoteHeard(SomeMember(1, MemberState::kAlive), kMembers);
+      queue.NoteHeard(SomeMember(2, MemberState::kSuspect), kMembers);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.size());
+    for (int i = 0; i < kTimesSent; ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.size());
+      queue.NoteHeard(newer, kMembers);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
