Request process tests stand on the shared TestMesh

After the merge two classes were named cumin::test::TestMesh, and the test program crashed by mixing them. DeskMesh now holds what only these tests need, above the shared one.

--- a/tests/process/requests_test.cc
+++ b/tests/process/requests_test.cc
@@ -5,7 +5,7 @@
 #include <mutex>
 #include <thread>
 
-#include "process/test_mesh.h"
+#include "process/desk_mesh.h"
 #include "support/property.h"
 #include "support/wait_until.h"
 
@@ -14,7 +14,7 @@
 namespace {
 
 using std::chrono::milliseconds;
-using test::TestMesh;
+using test::DeskMesh;
 
 constexpr milliseconds kDeadline{4000};
 constexpr std::int64_t kNoNewWorkAfterMs = 3000;
@@ -32,8 +32,7 @@
  */
 class Callers {
  public:
-  Callers(const TestMesh& mesh, const std::vector<int>& ingresses,
-          int threads) {
+  Callers(DeskMesh& mesh, const std::vector<int>& ingresses, int threads) {
     for (int i = 0; i < threads; ++i) {
       const int ingress =
           ingresses.at(static_cast<std::size_t>(i) % ingresses.size());
@@ -66,10 +65,10 @@
   const std::vector<std::string>& answered_orders() const { return answered_; }
 
  private:
-  void CallOnce(const TestMesh& mesh, int ingress, const std::string& name,
+  void CallOnce(DeskMesh& mesh, int ingress, const std::string& name,
                 bool orders) {
     const HttpRequest request =
-        orders ? TestMesh::Order(name) : TestMesh::Item(name, "");
+        orders ? DeskMesh::Order(name) : DeskMesh::Item(name, "");
     const auto response = mesh.Call(ingress, request, kDeadline);
     const std::lock_guard<std::mutex> lock(mutex_);
     const std::string verdict = VerdictOf(response);
@@ -92,7 +91,7 @@
 
 /** Judges by the targets' logs: no run was cut, no order ran twice, and each
     answered order ran. */
-void CheckLogs(const TestMesh& mesh, const Callers& callers) {
+void CheckLogs(const DeskMesh& mesh, const Callers& callers) {
   std::map<std::string, int> finished;
   for (int vm = 0; vm < mesh.size(); ++vm) {
     for (const test::LoggedRun& it : mesh.Runs(vm)) {
@@ -132,7 +131,7 @@
 
  public:
   void TestLeavingTargetCutsNothing() {
-    TestMesh mesh(3, {"--service-ms", "20"});
+    DeskMesh mesh(3, {"--service-ms", "20"});
     Callers callers(mesh, {0, 2}, 8);
     std::this_thread::sleep_for(milliseconds(500));
     const std::int64_t left_at = ToUnixMillis(SystemClock().WallNow());
@@ -154,7 +153,7 @@
   }
 
   void TestLeavingDaemonCutsNothing() {
-    TestMesh mesh(3, {"--service-ms", "20"});
+    DeskMesh mesh(3, {"--service-ms", "20"});
     Callers callers(mesh, {0, 2}, 8);
     std::this_thread::sleep_for(milliseconds(500));
     mesh.daemon(1).Terminate();
@@ -166,9 +165,9 @@
   }
 
   void TestTruncatedAnswerIsNotDelivered() {
-    TestMesh mesh(1, {});
+    DeskMesh mesh(1, {});
     for (const HttpRequest& it :
-         {TestMesh::Item("a", ""), TestMesh::Order("k-1")}) {
+         {DeskMesh::Item("a", ""), DeskMesh::Order("k-1")}) {
       mesh.Control(0, R"({"truncate": 1})");
       const auto response = mesh.Call(0, it, kDeadline);
       CPPUNIT_ASSERT(response.has_value());
@@ -178,14 +177,14 @@
   }
 
   void TestCrashingRequestIsQuarantined() {
-    TestMesh mesh(4, {"--service-ms", "20"});
+    DeskMesh mesh(4, {"--service-ms", "20"});
     for (int vm = 0; vm < mesh.size(); ++vm) {
       mesh.Control(vm, R"({"crash_on": "boom"})");
     }
     Result<HttpResponse> response = Error{};
     for (int i = 0; i < 12; ++i) {
       response =
-          mesh.Call(i % mesh.size(), TestMesh::Item("x", "boom"), kDeadline);
+          mesh.Call(i % mesh.size(), DeskMesh::Item("x", "boom"), kDeadline);
     }
     int ended = 0;
     for (int vm = 0; vm < mesh.size(); ++vm) {
@@ -195,23 +194,23 @@
                 VerdictOf(response).c_str(), ReasonOf(response).c_str());
     CPPUNIT_ASSERT(ended >= 1 && ended <= 2);
     CPPUNIT_ASSERT_EQUAL(std::string("not-run"), VerdictOf(response));
-    const auto other = mesh.Call(0, TestMesh::Item("y", ""), kDeadline);
+    const auto other = mesh.Call(0, DeskMesh::Item("y", ""), kDeadline);
     CPPUNIT_ASSERT_EQUAL(std::string("ran"), VerdictOf(other));
   }
 
   void TestSilentConnectionIsFoundWithinOneCall() {
-    TestMesh mesh(1, {});
+    DeskMesh mesh(1, {});
     const milliseconds deadline(500);
     const auto verdict = [&](const HttpRequest& request) {
       return VerdictOf(mesh.Call(0, request, deadline));
     };
-    CPPUNIT_ASSERT_EQUAL(std::string("ran"), verdict(TestMesh::Item("a", "")));
+    CPPUNIT_ASSERT_EQUAL(std::string("ran"), verdict(DeskMesh::Item("a", "")));
     mesh.Control(0, R"({"silent": true})");
     // Orders go over a fresh connection.
-    CPPUNIT_ASSERT_EQUAL(std::string("ran"), verdict(TestMesh::Order("s-1")));
+    CPPUNIT_ASSERT_EQUAL(std::string("ran"), verdict(DeskMesh::Order("s-1")));
     int lost = 0;
     for (int i = 0; i < 6; ++i) {
-      lost += verdict(TestMesh::Item("b", "")) == "ran" ? 0 : 1;
+      lost += verdict(DeskMesh::Item("b", "")) == "ran" ? 0 : 1;
     }
     CPPUNIT_ASSERT_MESSAGE("lost " + std::to_string(lost), lost <= 1);
   }
