--- a/modules/cumin_proxy/fleet_state.cc
+++ b/modules/cumin_proxy/fleet_state.cc
@@ -253,6 +253,16 @@
   return report;
 }
 
+void FleetState::HearReport(const MemberVersionReport& report) {
+  const Guard lock(mutex_);
+  if (!report.reachable || table_.Find(report.vm) == nullptr) {
+    return;
+  }
+  LastHeard& last = last_known_[report.vm];
+  last.version = std::max(last.version, report.version);
+  last.at = std::max(last.at, report.last_heard);
+}
+
 bool FleetState::IsFenced() const {
   const Guard lock(mutex_);
   return detector_.IsFenced();
--- a/modules/cumin_proxy/fleet_state.h
+++ b/modules/cumin_proxy/fleet_state.h
@@ -97,6 +97,10 @@
       unreachable */
   MemberVersionReport LastKnown(const VmId& vm) const;
 
+  /** Notes what a member said to have in force when it was asked, so that it is
+      known once the member cannot be heard any more. */
+  void HearReport(const MemberVersionReport& report);
+
   /** @returns true when this daemon must first prove that it is held alive */
   bool IsFenced() const;
 
