--- a/programs/cuminload/main.cc
+++ b/programs/cuminload/main.cc
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include "cuminload/converge_command.h"
 #include "cuminload/direct_compare_command.h"
 #include "cuminload/run_command.h"
 
@@ -13,6 +14,7 @@
   app.require_subcommand(1);
   cumin::load::RegisterRun(app);
   cumin::load::RegisterDirectCompare(app);
+  cumin::load::RegisterConverge(app);
   CLI11_PARSE(app, argc, argv);
   return 0;
 }
