--- a/modules/cumin_admission/drain_state.cc
+++ b/modules/cumin_admission/drain_state.cc
@@ -14,14 +14,6 @@
   unconfirmed_ = std::move(routing_peers);
 }
 
-void DrainState::CancelLeave() {
-  if (step_ == DrainStep::kEnded) {
-    return;
-  }
-  step_ = DrainStep::kServing;
-  unconfirmed_.clear();
-}
-
 void DrainState::OnPeerConfirmed(const VmId& peer) { unconfirmed_.erase(peer); }
 
 DrainStep DrainState::Advance(int in_flight, MonoTime now) {
--- a/modules/cumin_admission/drain_state.h
+++ b/modules/cumin_admission/drain_state.h
@@ -51,9 +51,6 @@
       @param now            the time */
   void BeginLeave(std::set<VmId> routing_peers, MonoTime now);
 
-  /** Takes the announcement back, when the target said so before the end. */
-  void CancelLeave();
-
   /** A daemon has seen the announcement, or is gone. */
   void OnPeerConfirmed(const VmId& peer);
 
--- a/modules/cumin_routing/target_health.h
+++ b/modules/cumin_routing/target_health.h
@@ -24,9 +24,6 @@
   /** @returns true when a call may be sent there */
   bool IsUsable(MonoTime now) const;
 
-  /** @returns true when the last call failed */
-  bool IsFailing() const { return failures_ > 0; }
-
  private:
   int failures_ = 0;
   MonoTime avoid_until_;
