--- a/tests/process/desk_mesh.cc
+++ b/tests/process/desk_mesh.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <sstream>
 
 #include "cumin_core/json_text.h"
@@ -11,6 +12,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kWarmDeadline{1000};
+
 constexpr char kMesh[] = R"(
 mesh: test
 services:
@@ -31,34 +34,37 @@
   - {service: desk, operation: order, deadline_ms: 5000, retries: 2}
 )";
 
-std::size_t Index(int vm) { return static_cast<std::size_t>(vm); }
-
 }  // namespace
 
-DeskMesh::DeskMesh(int vms, const std::vector<std::string>& target_options)
-    : size_(vms) {
-  const AcceptanceOutcome outcome =
-      Publish(0, {PartEdit{MeshPartName(), kMesh},
-                  PartEdit{CustomerPartName(CustomerId("buyers")), kContract}});
+DeskMesh::DeskMesh(int vms, const std::vector<std::string>& target_options,
+                   const std::string& settings)
+    : vms_(vms) {
+  const AcceptanceOutcome outcome = mesh_.Publish(
+      0, {PartEdit{MeshPartName(), kMesh},
+          PartEdit{CustomerPartName(CustomerId("buyers")), kContract}});
   CPPUNIT_ASSERT(outcome.result == AcceptanceResult::kAccepted);
   for (int i = 0; i < vms; ++i) {
     TestVm vm;
     vm.name = "vm-" + std::to_string(i);
     vm.service = "desk";
     vm.target_options = target_options;
-    Add(vm);
+    vm.settings = settings;
+    mesh_.Add(vm);
+  }
+  CPPUNIT_ASSERT(mesh_.WaitUntilReady());
+  for (int ingress = 0; ingress < vms; ++ingress) {
+    for (int target = 0; target < vms; ++target) {
+      AwaitKnown(ingress, target, "warm-" + std::to_string(ingress));
+    }
   }
-  AwaitServing();
 }
 
 Result<HttpResponse> DeskMesh::Call(int vm, const HttpRequest& request,
-                                    std::chrono::milliseconds deadline) const {
+                                    std::chrono::milliseconds deadline) {
   HttpRequest sent = request;
   sent.headers.Set("Cumin-Customer", "buyers");
   sent.headers.Set("Cumin-Deadline-Ms", std::to_string(deadline.count()));
-  HttpClient client(daemon_endpoint(Index(vm)));
-  return client.Exchange(sent, deadline * 2 + std::chrono::seconds(1),
-                         ConnectionUse::kFreshOnly);
+  return mesh_.Call(Index(vm), sent);
 }
 
 HttpRequest DeskMesh::Item(const std::string& name, const std::string& mark) {
@@ -82,12 +88,19 @@
 }
 
 void DeskMesh::Control(int vm, const std::string& json) {
-  ControlTarget(Index(vm), json);
+  mesh_.ControlTarget(Index(vm), json);
+}
+
+void DeskMesh::Replace(int vm) {
+  mesh_.RestartDaemon(Index(vm));
+  mesh_.RestartTarget(Index(vm));
+  const std::string name = "again-" + std::to_string(replacements_++);
+  AwaitKnown((vm + 1) % vms_, vm, name);
 }
 
 std::vector<LoggedRun> DeskMesh::Runs(int vm) const {
   std::vector<LoggedRun> runs;
-  std::istringstream lines(ReadFile(RunLog(Index(vm))));
+  std::istringstream lines(ReadFile(mesh_.RunLog(Index(vm))));
   std::string line;
   while (std::getline(lines, line)) {
     const Json::Value in = ParseJson(line, "run log").value();
@@ -97,28 +110,18 @@
   return runs;
 }
 
-void DeskMesh::AwaitServing() {
-  // Once every target has run a call of every daemon's, all know all.
-  for (int i = 0; i < size(); ++i) {
-    const std::string path = "/items/warm-" + std::to_string(i);
-    CPPUNIT_ASSERT(WaitUntil([&] {
-      int served = 0;
-      for (int vm = 0; vm < size(); ++vm) {
-        Call(i, Item("warm-" + std::to_string(i), ""),
-             std::chrono::milliseconds(1000))
-            .has_value();
-      }
-      for (int vm = 0; vm < size(); ++vm) {
-        for (const LoggedRun& it : Runs(vm)) {
-          if (it.event == "finish" && it.path == path) {
-            served += 1;
-            break;
-          }
-        }
-      }
-      return served == size();
-    }));
-  }
+bool DeskMesh::HasRun(int vm, const std::string& path) const {
+  const std::vector<LoggedRun> runs = Runs(vm);
+  return std::any_of(runs.begin(), runs.end(), [&](const LoggedRun& it) {
+    return it.event == "finish" && it.path == path;
+  });
+}
+
+void DeskMesh::AwaitKnown(int ingress, int target, const std::string& name) {
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    Call(ingress, Item(name, ""), kWarmDeadline).has_value();
+    return HasRun(target, "/items/" + name);
+  }));
 }
 
 }  // namespace cumin::test
--- a/tests/process/requests_test.cc
+++ b/tests/process/requests_test.cc
@@ -32,8 +32,7 @@
  */
 class Callers {
  public:
-  Callers(const DeskMesh& mesh, const std::vector<int>& ingresses,
-          int threads) {
+  Callers(DeskMesh& mesh, const std::vector<int>& ingresses, int threads) {
     for (int i = 0; i < threads; ++i) {
       const int ingress =
           ingresses.at(static_cast<std::size_t>(i) % ingresses.size());
@@ -66,7 +65,7 @@
   const std::vector<std::string>& answered_orders() const { return answered_; }
 
  private:
-  void CallOnce(const DeskMesh& mesh, int ingress, const std::string& name,
+  void CallOnce(DeskMesh& mesh, int ingress, const std::string& name,
                 bool orders) {
     const HttpRequest request =
         orders ? DeskMesh::Order(name) : DeskMesh::Item(name, "");
