--- a/modules/cumin_proxy/target_gate.cc
+++ b/modules/cumin_proxy/target_gate.cc
@@ -135,10 +135,11 @@
       in_flight.push_back(it.Fingerprint());
     }
   }
-  // Tells crashes of successive daemons on the VM apart, too.
-  const auto sequence =
-      static_cast<std::uint64_t>(ToUnixMillis(clock_.WallNow()));
   target_process_ += 1;
+  // The time tells apart the crashes under successive daemons of this VM.
+  const auto sequence =
+      static_cast<std::uint64_t>(ToUnixMillis(clock_.WallNow())) +
+      target_process_;
   slow_start_.Begin();
   suspects_.OnCrash(TargetCrash{self_, sequence}, in_flight, now);
   std::vector<SuspectRecord> records;
