Probes into other regions no longer grow with the fleet

Cause: one probe in five crossed a region link, so idle bytes on the link grew with the daemons: 34308 B/s at 240 daemons in 2 regions. Now the members of a large region send four such probes a second together; daemons of a region that start together take turns.

Once, with 240 daemons watching on a loaded machine, the store stand-in ended with 'pure virtual method called'; a second run did not show it.

--- a/modules/cumin_fleet/probe_schedule.cc
+++ b/modules/cumin_fleet/probe_schedule.cc
@@ -3,14 +3,21 @@
 #include <algorithm>
 #include <utility>
 
+#include "cumin_core/digest.h"
+
 namespace cumin {
 
 namespace {
 
-/** One probe in this many goes to another region, whose links are billed. */
+/** One probe in this many at most goes to another region, whose links are
+    billed. */
 constexpr int kOtherRegionEvery = 5;
+/** In larger regions all members together send this many in each period. */
+constexpr int kOtherRegionProbes = 4;
 /** One probe in this many goes to a dead member. */
 constexpr int kDeadEvery = 9;
+/** Daemons that start together are spread over this many turns. */
+constexpr int kTurns = 1000;
 
 void Shuffle(std::vector<VmId>& members, Random& random) {
   for (std::size_t n = members.size(); n > 1; --n) {
@@ -20,7 +27,9 @@
 
 }  // namespace
 
-ProbeSchedule::ProbeSchedule(const MemberTable& table) : table_(table) {}
+ProbeSchedule::ProbeSchedule(const MemberTable& table)
+    : table_(table),
+      turn_(static_cast<int>(StableHash(table.self().vm.str()) % kTurns)) {}
 
 std::optional<VmId> ProbeSchedule::Next(
     Random& random, const std::optional<RegionId>& recheck) {
@@ -35,7 +44,7 @@
   if (turn_ % kDeadEvery == 0) {
     order.push_back(Round::kDead);
   }
-  if (turn_ % kOtherRegionEvery == 0) {
+  if (turn_ % OtherRegionEvery() == 0) {
     order.push_back(Round::kOtherRegions);
   }
   order.insert(order.end(),
@@ -64,6 +73,14 @@
   return helpers;
 }
 
+int ProbeSchedule::OtherRegionEvery() const {
+  int members = 0;
+  for (const Member& it : table_.Live()) {
+    members += it.region == table_.self().region ? 1 : 0;
+  }
+  return std::max(kOtherRegionEvery, members / kOtherRegionProbes);
+}
+
 bool ProbeSchedule::Belongs(Round round, const Member& member) const {
   if (member.vm == table_.self().vm) {
     return false;
--- a/modules/cumin_fleet/probe_schedule.h
+++ b/modules/cumin_fleet/probe_schedule.h
@@ -10,8 +10,9 @@
 namespace cumin {
 
 /** Chooses whom to probe next: each member of the own region once in a
-    shuffled round, now and then one of another region, and at times a dead
-    one, which finds it again after a cut has healed.
+    shuffled round, now and then one of another region, the more rarely the
+    larger the own region is, and at times a dead one, which finds it again
+    after a cut has healed.
 
     Not thread-safe.
 */
@@ -35,13 +36,14 @@
  private:
   enum class Round { kOwnRegion, kOtherRegions, kDead };
 
+  int OtherRegionEvery() const;
   bool Belongs(Round round, const Member& member) const;
   std::optional<VmId> Draw(Round round, Random& random);
   std::optional<VmId> DrawFrom(const RegionId& region, Random& random) const;
 
   const MemberTable& table_;
   std::map<Round, std::vector<VmId>> waiting_;
-  int turn_ = 0;
+  int turn_;
 };
 
 }  // namespace cumin
--- a/tests/fleet/membership_test.cc
+++ b/tests/fleet/membership_test.cc
@@ -109,6 +109,7 @@
   CPPUNIT_TEST(TestImpossibleEntriesAreRefused);
   CPPUNIT_TEST(TestTableIsBounded);
   CPPUNIT_TEST(TestTombstonesExpire);
+  CPPUNIT_TEST(TestOtherRegionsAreProbedAtABoundedRate);
   CPPUNIT_TEST(TestGossipIsBounded);
   CPPUNIT_TEST(TestNewsThatPeersHaveDiesOut);
   CPPUNIT_TEST_SUITE_END();
@@ -236,6 +237,23 @@
     CPPUNIT_ASSERT(table.Find(VmId("vm-1")) == nullptr);
   }
 
+  void TestOtherRegionsAreProbedAtABoundedRate() {
+    constexpr int kPeriods = 2000;
+    SeededRandom random(1);
+    for (const int n : {4, 20, 100, 300}) {
+      FleetDriver fleet(2 * n, 2, 1);
+      const MemberTable& table = *fleet.node(0).table;
+      ProbeSchedule schedule(table);
+      int crossed = 0;
+      for (int i = 0; i < kPeriods; ++i) {
+        const VmId vm = *schedule.Next(random, std::nullopt);
+        crossed += table.Find(vm)->region == table.self().region ? 0 : 1;
+      }
+      CPPUNIT_ASSERT(crossed > 0);
+      CPPUNIT_ASSERT(crossed * n <= 5 * kPeriods);
+    }
+  }
+
   void TestGossipIsBounded() {
     test::CheckProperty("gossip is bounded and newest first", [] {
       const GossipSettings settings;
