Status answers count as hearing a daemon

Cause: TestHalfOfTheDaemonsKilled failed once in two runs: a survivor that had never exchanged with a killed daemon could not say when it was last heard. What a status request finds reachable is now noted, and the test first asks the daemon that it asks again after the kill; the check itself is unchanged.

--- a/modules/cumin_proxy/fleet_state.cc
+++ b/modules/cumin_proxy/fleet_state.cc
@@ -253,6 +253,16 @@
   return report;
 }
 
+void FleetState::NoteReport(const MemberVersionReport& report) {
+  if (!report.reachable) {
+    return;
+  }
+  const Guard lock(mutex_);
+  LastHeard& last = last_known_[report.vm];
+  last.version = std::max(last.version, report.version);
+  last.at = std::max(last.at, report.last_heard);
+}
+
 bool FleetState::IsFenced() const {
   const Guard lock(mutex_);
   return detector_.IsFenced();
--- a/modules/cumin_proxy/fleet_state.h
+++ b/modules/cumin_proxy/fleet_state.h
@@ -97,6 +97,9 @@
       unreachable */
   MemberVersionReport LastKnown(const VmId& vm) const;
 
+  /** Notes what a member was found to have in force, when it was reachable. */
+  void NoteReport(const MemberVersionReport& report);
+
   /** @returns true when this daemon must first prove that it is held alive */
   bool IsFenced() const;
 
--- a/modules/cumin_proxy/status_service.cc
+++ b/modules/cumin_proxy/status_service.cc
@@ -87,6 +87,7 @@
   GatherReport gathered;
   for (const std::vector<MemberVersionReport>& reports : answers) {
     for (const MemberVersionReport& it : reports) {
+      state_.NoteReport(it);
       gathered.Add(it);
     }
   }
--- a/tests/process/fleet_test.cc
+++ b/tests/process/fleet_test.cc
@@ -148,6 +148,9 @@
  public:
   void TestHalfOfTheDaemonsKilled() {
     Fleet fleet(8);
+    // So that the daemon asked below has heard each of those killed.
+    CPPUNIT_ASSERT(
+        test::WaitUntil([&] { return fleet.Reported(2, true).size() == 8; }));
     for (const std::size_t it : {0, 1, 4, 5}) {
       fleet.mesh.daemon(it).Kill();
     }
