Records of crashes reach daemons whose announcement has not spread

A daemon told the carriers it knew; right after the start it knew none (its log: "told 0 daemons"), so the other daemon had one crash on record and ran the request again. Left: in a larger fleet a target that crashed in its first second is told only through what carriers answer.

--- a/modules/cumin_proxy/suspect_notifier.cc
+++ b/modules/cumin_proxy/suspect_notifier.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr char kMethod[] = "admission.suspects";
+/** Up to this size every member is told, so that a target whose announcement
+    has not spread yet is not missed. */
+constexpr std::size_t kSmallFleet = 32;
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(250);
 constexpr Duration kTotalTimeout = std::chrono::seconds(2);
 
@@ -60,6 +63,23 @@
   return record;
 }
 
+bool Carries(const Member& member, const ServiceId& service) {
+  return member.target && member.target->service == service;
+}
+
+/** @returns true when the VM's own target crashed under one of the requests;
+    its announcement may not have reached this daemon yet */
+bool WasHit(const VmId& vm, const std::vector<SuspectRecord>& records) {
+  for (const SuspectRecord& record : records) {
+    for (const TargetCrash& it : record.crashes) {
+      if (it.vm == vm) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 void SuspectNotifier::Register(JsonRpcDispatcher& dispatcher) {
@@ -69,8 +89,7 @@
         if (!records) {
           return records.error();
         }
-        board_.gate.ImportSuspects(records.value());
-        return Json::Value(true);
+        return EncodeSuspects(board_.gate.ImportSuspects(records.value()));
       });
 }
 
@@ -79,13 +98,26 @@
   const Json::Value message = EncodeSuspects(records);
   const MonoTime end = board_.clock.Now() + kTotalTimeout;
   int confirmed = 0;
-  for (const Member& it : board_.fleet.Carriers(service)) {
-    if (it.vm == board_.settings.vm || board_.clock.Now() >= end) {
+  const std::vector<Member> members = board_.fleet.Members();
+  const bool is_small = members.size() <= kSmallFleet;
+  for (const Member& it : members) {
+    const bool concerned =
+        is_small || Carries(it, service) || WasHit(it.vm, records);
+    if (!concerned || it.vm == board_.settings.vm ||
+        board_.clock.Now() >= end) {
       continue;
     }
     OneMessageTransport transport(it.endpoint);
-    if (CallJsonRpc(transport, kMethod, message)) {
-      confirmed += 1;
+    const Result<Json::Value> answer = CallJsonRpc(transport, kMethod, message);
+    if (!answer) {
+      continue;
+    }
+    confirmed += 1;
+    // What the peer knows of these requests may have missed this daemon.
+    const Result<std::vector<SuspectRecord>> known =
+        DecodeSuspects(answer.value());
+    if (known) {
+      board_.gate.ImportSuspects(known.value());
     }
   }
   return confirmed;
--- a/modules/cumin_proxy/suspect_notifier.h
+++ b/modules/cumin_proxy/suspect_notifier.h
@@ -21,8 +21,9 @@
   /** Registers the method by which peers tell their records. */
   void Register(JsonRpcDispatcher& dispatcher);
 
-  /** Sends the records to every other daemon with a target of the service, for
-      a bounded time.
+  /** Sends the records to every other daemon with a target of the service, to
+      those named in the records, and in a small fleet to all, for a bounded
+      time. Takes in what they know of the same requests.
       @returns how many daemons confirmed */
   int Tell(const ServiceId& service, const std::vector<SuspectRecord>& records);
 
--- a/modules/cumin_proxy/target_gate.cc
+++ b/modules/cumin_proxy/target_gate.cc
@@ -142,14 +142,7 @@
       target_process_;
   slow_start_.Begin();
   suspects_.OnCrash(TargetCrash{self_, sequence}, in_flight, now);
-  std::vector<SuspectRecord> records;
-  for (SuspectRecord& it : suspects_.Export(now)) {
-    if (std::find(in_flight.begin(), in_flight.end(), it.fingerprint) !=
-        in_flight.end()) {
-      records.push_back(std::move(it));
-    }
-  }
-  return records;
+  return ExportSuspects(in_flight, now);
 }
 
 void TargetGate::OnTargetUnreachable() {
@@ -165,13 +158,29 @@
   UpdateSlots(clock_.Now());
 }
 
-void TargetGate::ImportSuspects(const std::vector<SuspectRecord>& records) {
+std::vector<SuspectRecord> TargetGate::ImportSuspects(
+    const std::vector<SuspectRecord>& records) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const MonoTime now = clock_.Now();
   suspects_.Expire(now);
+  std::vector<RequestFingerprint> fingerprints;
   for (const SuspectRecord& it : records) {
     suspects_.Import(it, now);
+    fingerprints.push_back(it.fingerprint);
+  }
+  return ExportSuspects(fingerprints, now);
+}
+
+std::vector<SuspectRecord> TargetGate::ExportSuspects(
+    const std::vector<RequestFingerprint>& fingerprints, MonoTime now) const {
+  std::vector<SuspectRecord> records;
+  for (SuspectRecord& it : suspects_.Export(now)) {
+    if (std::find(fingerprints.begin(), fingerprints.end(), it.fingerprint) !=
+        fingerprints.end()) {
+      records.push_back(std::move(it));
+    }
   }
+  return records;
 }
 
 TargetLoad TargetGate::Load() const {
--- a/modules/cumin_proxy/target_gate.h
+++ b/modules/cumin_proxy/target_gate.h
@@ -70,13 +70,17 @@
   /** The target announced itself, with or without a change. */
   void OnAnnouncement();
 
-  /** Takes in another daemon's records. */
-  void ImportSuspects(const std::vector<SuspectRecord>& records);
+  /** Takes in another daemon's records.
+      @returns what is known here of the same requests */
+  std::vector<SuspectRecord> ImportSuspects(
+      const std::vector<SuspectRecord>& records);
 
   /** @returns the target's load; no slots without a target */
   TargetLoad Load() const;
 
  private:
+  std::vector<SuspectRecord> ExportSuspects(
+      const std::vector<RequestFingerprint>& fingerprints, MonoTime now) const;
   void OnStart(PendingCall& call) override;
   void OnRefuse(PendingCall& call, const Refusal& refusal) override;
 
