A service's shard count cannot change

Cause: another ledger_shards moves keys to owners that do not remember them, so a resent call could run again; nothing refused it. Acceptance now compares the mesh to be with the mesh in force (also on rollback).

--- a/modules/cumin_config/acceptance_plan.cc
+++ b/modules/cumin_config/acceptance_plan.cc
@@ -143,6 +143,8 @@
       return OnRollbackRecord(entry);
     case Phase::kReadPart:
       return OnPartRead(entry);
+    case Phase::kReadOldMesh:
+      return OnOldMeshRead(entry);
     case Phase::kCheckPart:
       return OnPartChecked(entry);
     case Phase::kCheckCopy:
@@ -291,7 +293,7 @@
 
 void AcceptancePlan::ReadNextPart() {
   if (unread_.empty()) {
-    BuildVersion();
+    ReadOldMesh();
     return;
   }
   Read(Phase::kReadPart, PartKey(unread_.back().digest));
@@ -303,6 +305,28 @@
   ReadNextPart();
 }
 
+void AcceptancePlan::ReadOldMesh() {
+  const ManifestEntry* old =
+      head_ ? FindEntry(head_->manifest, MeshPartName()) : nullptr;
+  const auto next = texts_.find(MeshPartName());
+  if (old == nullptr || next == texts_.end() ||
+      old->digest == Sha256Hex(next->second)) {
+    BuildVersion();
+    return;
+  }
+  Read(Phase::kReadOldMesh, PartKey(old->digest));
+}
+
+void AcceptancePlan::OnOldMeshRead(const StoreEntry& entry) {
+  const Result<void> kept =
+      CheckShardsKept(entry.value, texts_.at(MeshPartName()));
+  if (!kept) {
+    FinishWithError(AcceptanceResult::kInvalid, kept.error());
+    return;
+  }
+  BuildVersion();
+}
+
 void AcceptancePlan::BuildVersion() {
   const HeadRecord* previous = head_ ? &*head_ : nullptr;
   const Result<ConfigBundle> candidate =
--- a/modules/cumin_config/acceptance_plan.h
+++ b/modules/cumin_config/acceptance_plan.h
@@ -73,6 +73,7 @@
     kReadHead,
     kReadRollback,
     kReadPart,
+    kReadOldMesh,
     kWritePart,
     kCheckPart,
     kCopyHead,
@@ -97,6 +98,7 @@
   void OnHeadMoved();
   void OnRollbackRecord(const StoreEntry& entry);
   void OnPartRead(const StoreEntry& entry);
+  void OnOldMeshRead(const StoreEntry& entry);
   void OnPartChecked(const StoreEntry& entry);
   void OnCopyChecked(const StoreEntry& entry);
   void OnChangeLookedUp(const StoreEntry& entry);
@@ -104,6 +106,7 @@
 
   void PlanEdits(const Manifest& base);
   void ReadNextPart();
+  void ReadOldMesh();
   void BuildVersion();
   void WriteNextPart();
   void CopyHead();
--- a/modules/cumin_config/config_candidate.cc
+++ b/modules/cumin_config/config_candidate.cc
@@ -46,4 +46,24 @@
   return bundle;
 }
 
+Result<void> CheckShardsKept(const std::string& old_mesh,
+                             const std::string& new_mesh) {
+  const Result<Mesh> before = ParseMesh(old_mesh, "mesh in force");
+  const Result<Mesh> after = ParseMesh(new_mesh, "mesh");
+  if (!before || !after) {
+    return Ok();
+  }
+  for (const Service& it : after.value().services) {
+    const Service* known = before.value().FindService(it.name);
+    if (known != nullptr && known->ledger_shards != it.ledger_shards) {
+      return Error{ErrorCode::kInvalid, "mesh", 0,
+                   "services." + it.name.str() + ".ledger_shards",
+                   "is " + std::to_string(known->ledger_shards) +
+                       " and cannot change: keys would move to owners that do "
+                       "not remember them"};
+    }
+  }
+  return Ok();
+}
+
 }  // namespace cumin
--- a/modules/cumin_config/config_candidate.h
+++ b/modules/cumin_config/config_candidate.h
@@ -21,4 +21,14 @@
                                    const HeadRecord* previous,
                                    const PartTexts& texts);
 
+/** Checks that no service changes into how many shards its idempotency keys are
+    split. Another number would give keys to other owners, which don't remember
+    them, so that a call could run again.
+    @param old_mesh  the mesh document in force
+    @param new_mesh  the one that is to replace it
+    @returns success, or ErrorCode::kInvalid naming the service; documents that
+             do not parse are left to the validation of the whole */
+Result<void> CheckShardsKept(const std::string& old_mesh,
+                             const std::string& new_mesh);
+
 }  // namespace cumin
--- a/tests/config/config_acceptor_test.cc
+++ b/tests/config/config_acceptor_test.cc
@@ -70,6 +70,7 @@
   CPPUNIT_TEST(TestRepeatedChangeIdIsAcceptedOnce);
   CPPUNIT_TEST(TestOutageChangesNothing);
   CPPUNIT_TEST(TestInvalidChangesNothing);
+  CPPUNIT_TEST(TestShardCountIsKept);
   CPPUNIT_TEST(TestForeignHeadChangesNothing);
   CPPUNIT_TEST(TestRollback);
   CPPUNIT_TEST(TestRemovesACustomer);
@@ -200,6 +201,22 @@
     }
   }
 
+  void TestShardCountIsKept() {
+    AcceptFirst();
+    const auto before = store_.entries();
+    std::string mesh = test::SampleMesh();
+    const std::string operations = "    operations:";
+    mesh.insert(mesh.find(operations), "    ledger_shards: 9\n");
+    ChangeRequest request = SetRate("anna", 1, 100);
+    request.edits = {PartEdit{MeshPartName(), mesh}};
+    const AcceptanceOutcome outcome = Accept(request);
+    CPPUNIT_ASSERT_MESSAGE(Describe(outcome),
+                           outcome.result == AcceptanceResult::kInvalid);
+    CPPUNIT_ASSERT(outcome.error.field.find("ledger_shards") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(before == store_.entries());
+  }
+
   void TestForeignHeadChangesNothing() {
     store_.Put(kHeadKey, "{\"owner\":\"someone else\"}");
     const auto before = store_.entries();
