--- a/modules/cumin_admission/admission_queue.cc
+++ b/modules/cumin_admission/admission_queue.cc
@@ -22,11 +22,6 @@
 constexpr Duration kUnknownServiceTime = std::chrono::milliseconds(1);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 
-Refusal NotRun(RefusalReason reason, std::string detail,
-               Duration retry_after = kMinRetryAfter) {
-  return Refusal{Verdict::kNotRun, reason, std::move(detail), retry_after};
-}
-
 Refusal TooLate() {
   return NotRun(RefusalReason::kDeadlineTooShort,
                 "the call cannot end before its deadline", Duration::zero());
--- a/modules/cumin_config/config_snapshot.cc
+++ b/modules/cumin_config/config_snapshot.cc
@@ -17,10 +17,7 @@
       return Error{ErrorCode::kInvalid, source, 0, field + ".service",
                    "the mesh has no service \"" + grant.service.str() + "\""};
     }
-    const bool known = std::any_of(
-        service->operations.begin(), service->operations.end(),
-        [&](const Operation& it) { return it.name == grant.operation; });
-    if (!known) {
+    if (service->FindOperation(grant.operation) == nullptr) {
       return Error{ErrorCode::kInvalid, source, 0, field + ".operation",
                    "the service " + grant.service.str() +
                        " has no operation \"" + grant.operation.str() + "\""};
--- a/modules/cumin_config/mesh.cc
+++ b/modules/cumin_config/mesh.cc
@@ -64,6 +64,13 @@
 
 }  // namespace
 
+const Operation* Service::FindOperation(const OperationId& operation) const {
+  const auto it = std::find_if(
+      operations.begin(), operations.end(),
+      [&](const Operation& each) { return each.name == operation; });
+  return it == operations.end() ? nullptr : &*it;
+}
+
 const Service* Mesh::FindService(const ServiceId& service) const {
   const auto it =
       std::find_if(services.begin(), services.end(),
--- a/modules/cumin_config/mesh.h
+++ b/modules/cumin_config/mesh.h
@@ -52,6 +52,9 @@
   Duration key_window{std::chrono::minutes(10)};
   std::vector<Operation> operations;
 
+  /** @returns the operation, or null when the service has none of that name */
+  const Operation* FindOperation(const OperationId& operation) const;
+
   friend bool operator==(const Service& a, const Service& b) {
     return a.name == b.name && a.ledger_shards == b.ledger_shards &&
            a.key_window == b.key_window && a.operations == b.operations;
--- a/modules/cumin_core/verdict.cc
+++ b/modules/cumin_core/verdict.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstddef>
+#include <utility>
 
 namespace cumin {
 
@@ -81,4 +82,8 @@
   return out << ToString(reason);
 }
 
+Refusal NotRun(RefusalReason reason, std::string detail, Duration retry_after) {
+  return Refusal{Verdict::kNotRun, reason, std::move(detail), retry_after};
+}
+
 }  // namespace cumin
--- a/modules/cumin_core/verdict.h
+++ b/modules/cumin_core/verdict.h
@@ -87,4 +87,8 @@
   }
 };
 
+/** @returns a refusal of a call that no target got */
+Refusal NotRun(RefusalReason reason, std::string detail,
+               Duration retry_after = Duration(0));
+
 }  // namespace cumin
--- a/modules/cumin_ledger/shard_ledger.cc
+++ b/modules/cumin_ledger/shard_ledger.cc
@@ -13,11 +13,6 @@
 constexpr Duration kRetryUnowned = std::chrono::seconds(1);
 constexpr Duration kRetryFull = std::chrono::seconds(10);
 
-Refusal NotRun(RefusalReason reason, const std::string& detail,
-               Duration retry_after = Duration(0)) {
-  return Refusal{Verdict::kNotRun, reason, detail, retry_after};
-}
-
 Refusal MayHaveRun(RefusalReason reason, const std::string& detail,
                    Duration retry_after = Duration(0)) {
   return Refusal{Verdict::kMayHaveRun, reason, detail, retry_after};
--- a/modules/cumin_proxy/call.h
+++ b/modules/cumin_proxy/call.h
@@ -58,6 +58,11 @@
       empty. */
   VmId shard_owner;
 
+  /** @returns the result of a call that no target got */
+  static CallResult NotRun(RefusalReason reason, std::string detail) {
+    return Refused(cumin::NotRun(reason, std::move(detail)));
+  }
+
   /** @returns a result without an answer */
   static CallResult Refused(Refusal refusal) {
     CallResult result;
--- a/modules/cumin_proxy/call_codec.cc
+++ b/modules/cumin_proxy/call_codec.cc
@@ -113,16 +113,6 @@
   return refusal;
 }
 
-const Operation* FindOperation(const Service& service,
-                               const OperationId& name) {
-  for (const Operation& it : service.operations) {
-    if (it.name == name) {
-      return &it;
-    }
-  }
-  return nullptr;
-}
-
 /** A request's path and query in one header. */
 std::string JoinPath(const HttpRequest& request) {
   return request.query.empty() ? request.path
@@ -186,7 +176,7 @@
   call.operation = OperationId(request.headers.Get(kOperationHeader));
   const Service* service = snapshot.mesh().FindService(call.service);
   const Operation* operation =
-      service == nullptr ? nullptr : FindOperation(*service, call.operation);
+      service == nullptr ? nullptr : service->FindOperation(call.operation);
   if (operation == nullptr) {
     return BadHeader(kOperationHeader,
                      "the configuration in force has no operation \"" +
--- a/modules/cumin_proxy/call_headers.h
+++ b/modules/cumin_proxy/call_headers.h
@@ -30,7 +30,6 @@
 constexpr char kReservedPrefix[] = "/-/";
 constexpr char kAnnouncePath[] = "/-/announce";
 constexpr char kCallPath[] = "/-/call";
-constexpr char kRpcPath[] = "/-/rpc";
 constexpr char kReadyPath[] = "/-/ready";
 constexpr char kLivePath[] = "/-/live";
 constexpr char kMetricsPath[] = "/-/metrics";
--- a/modules/cumin_proxy/call_planner.cc
+++ b/modules/cumin_proxy/call_planner.cc
@@ -19,10 +19,6 @@
 constexpr std::size_t kMaxPathBytes = 1024;
 constexpr std::size_t kMaxKeyBytes = 128;
 
-Refusal NotRun(RefusalReason reason, const std::string& detail) {
-  return Refusal{Verdict::kNotRun, reason, detail, Duration(0)};
-}
-
 /** Fields that belong to one connection or that a daemon sets itself. */
 bool IsPassedOn(const std::string& name) {
   static constexpr std::array<const char*, 14> kDropped = {"Host",
--- a/modules/cumin_proxy/daemon_settings.cc
+++ b/modules/cumin_proxy/daemon_settings.cc
@@ -12,8 +12,6 @@
 constexpr int kMaxWorkers = 1024;
 constexpr int kMinAnnounceTimeoutMs = 100;
 constexpr int kMaxAnnounceTimeoutMs = 60000;
-constexpr int kMinDirectoryLeaseS = 10;
-constexpr int kMaxDirectoryLeaseS = 3600;
 constexpr int kMinLedgerLeaseMs = 1000;
 constexpr int kMaxLedgerLeaseMs = 600000;
 constexpr int kMaxDrainLimitMs = 600000;
@@ -83,9 +81,6 @@
   settings.announce_timeout =
       ReadMillis(root, "announce_timeout_ms", settings.announce_timeout,
                  kMinAnnounceTimeoutMs, kMaxAnnounceTimeoutMs);
-  settings.directory_lease = std::chrono::seconds(
-      root.Int("directory_lease_s", ToMillis(settings.directory_lease) / 1000,
-               kMinDirectoryLeaseS, kMaxDirectoryLeaseS));
   settings.ledger_lease =
       ReadMillis(root, "ledger_lease_ms", settings.ledger_lease,
                  kMinLedgerLeaseMs, kMaxLedgerLeaseMs);
--- a/modules/cumin_proxy/daemon_settings.h
+++ b/modules/cumin_proxy/daemon_settings.h
@@ -41,8 +41,6 @@
   std::string trace_file;
   /** How long a target may stay silent before it is taken as gone. */
   Duration announce_timeout{std::chrono::seconds(5)};
-  /** Length of the store lease of the daemon's directory entry. */
-  Duration directory_lease{std::chrono::seconds(60)};
   /** Length of the store lease under which this daemon owns ledger shards. */
   Duration ledger_lease{std::chrono::seconds(30)};
   /** How long callers and other daemons are still served after SIGTERM, so
--- a/modules/cumin_proxy/front.cc
+++ b/modules/cumin_proxy/front.cc
@@ -3,6 +3,7 @@
 #include "cumin_proxy/call_codec.h"
 #include "cumin_proxy/call_headers.h"
 #include "cumin_proxy/peer_caller.h"
+#include "cumin_rpc/json_rpc_caller.h"
 
 namespace cumin {
 
@@ -22,11 +23,6 @@
   return response;
 }
 
-CallResult NotRun(RefusalReason reason, const std::string& detail) {
-  return CallResult::Refused(
-      Refusal{Verdict::kNotRun, reason, detail, Duration(0)});
-}
-
 /** Counts one more call for as long as it lives. */
 class ActiveCall {
  public:
@@ -66,7 +62,7 @@
   const bool peer_call = request.path == kCallPath;
   if (active.before() >= board_.settings.workers) {
     const CallResult busy =
-        NotRun(RefusalReason::kQueueFull, "every worker is busy");
+        CallResult::NotRun(RefusalReason::kQueueFull, "every worker is busy");
     return peer_call ? EncodeResult(
                            busy, AttemptId(request.headers.Get(kAttemptHeader)))
                      : ToCallerResponse(busy);
@@ -107,14 +103,16 @@
   const AttemptId attempt(request.headers.Get(kAttemptHeader));
   const RefPtr<const ConfigSnapshot> snapshot = board_.config.Current();
   if (!snapshot) {
-    return EncodeResult(NotRun(RefusalReason::kNoConfiguration,
-                               "the target's daemon has no configuration"),
-                        attempt);
+    return EncodeResult(
+        CallResult::NotRun(RefusalReason::kNoConfiguration,
+                           "the target's daemon has no configuration"),
+        attempt);
   }
   const Result<Call> call = DecodeCall(request, *snapshot, board_.clock.Now());
   if (!call) {
     return EncodeResult(
-        NotRun(RefusalReason::kBadRequest, Describe(call.error())), attempt);
+        CallResult::NotRun(RefusalReason::kBadRequest, Describe(call.error())),
+        attempt);
   }
   const bool needs_ledger =
       call.value().repeatability == Repeatability::kAtMostOnce &&
--- a/modules/cumin_proxy/ingress_path.cc
+++ b/modules/cumin_proxy/ingress_path.cc
@@ -9,14 +9,7 @@
 
 namespace cumin {
 
-namespace {
-
-CallResult NotRun(RefusalReason reason, const std::string& detail) {
-  return CallResult::Refused(
-      Refusal{Verdict::kNotRun, reason, detail, Duration(0)});
-}
-
-}  // namespace
+namespace {}  // namespace
 
 IngressPath::IngressPath(Blackboard& board, OwnerPath& owner,
                          RemotePath& remote, OrderPath& orders)
@@ -49,12 +42,14 @@
 CallResult IngressPath::Route(const HttpRequest& request,
                               const std::string& trace_parent) {
   if (board_.refuses_callers) {
-    return NotRun(RefusalReason::kShuttingDown, "this daemon is ending");
+    return CallResult::NotRun(RefusalReason::kShuttingDown,
+                              "this daemon is ending");
   }
   const RefPtr<const ConfigSnapshot> snapshot = board_.config.Current();
   if (!board_.ready || !snapshot) {
-    return NotRun(RefusalReason::kNoConfiguration,
-                  "this daemon holds no configuration that it may serve with");
+    return CallResult::NotRun(
+        RefusalReason::kNoConfiguration,
+        "this daemon holds no configuration that it may serve with");
   }
   CallPlan plan = PlanCall(request, *snapshot, board_.clock.Now());
   if (auto* refusal = std::get_if<Refusal>(&plan)) {
--- a/modules/cumin_proxy/order_path.cc
+++ b/modules/cumin_proxy/order_path.cc
@@ -63,10 +63,6 @@
   return result;
 }
 
-CallResult NotRun(RefusalReason reason, const std::string& detail) {
-  return CallResult::Refused(Refusal{Verdict::kNotRun, reason, detail, kPause});
-}
-
 }  // namespace
 
 OrderPath::OrderPath(Blackboard& board, LedgerTable& ledger, OwnerPath& owner,
@@ -81,7 +77,8 @@
 CallResult OrderPath::Execute(const Call& call) {
   const std::optional<ShardId> shard = ShardOf(call);
   if (!shard) {
-    return NotRun(RefusalReason::kUnknownRoute, "the service is unknown");
+    return CallResult::NotRun(RefusalReason::kUnknownRoute,
+                              "the service is unknown");
   }
   Search search;
   search.owner = KnownOwner(*shard);
@@ -150,14 +147,15 @@
       return remote_.Execute(it, call);
     }
   }
-  return NotRun(RefusalReason::kPeerUnreachable,
-                "no daemon can own the call's shard now");
+  return CallResult::NotRun(RefusalReason::kPeerUnreachable,
+                            "no daemon can own the call's shard now");
 }
 
 CallResult OrderPath::ExecuteAsOwner(const Call& call) {
   const std::optional<ShardId> shard = ShardOf(call);
   if (!shard) {
-    return NotRun(RefusalReason::kUnknownRoute, "the service is unknown");
+    return CallResult::NotRun(RefusalReason::kUnknownRoute,
+                              "the service is unknown");
   }
   ChooseRequest choice{call.service, {}};
   CallResult result;
--- a/modules/cumin_proxy/owner_path.cc
+++ b/modules/cumin_proxy/owner_path.cc
@@ -7,11 +7,6 @@
 
 namespace {
 
-CallResult NotRun(RefusalReason reason, const std::string& detail) {
-  return CallResult::Refused(
-      Refusal{Verdict::kNotRun, reason, detail, Duration(0)});
-}
-
 RunOutcome OutcomeOf(const CallResult& result) {
   if (result.verdict == Verdict::kRan) {
     return RunOutcome::kAnswered;
@@ -21,20 +16,6 @@
              : RunOutcome::kFailed;
 }
 
-const Operation* FindOperation(const ConfigSnapshot& snapshot,
-                               const Call& call) {
-  const Service* service = snapshot.mesh().FindService(call.service);
-  if (service == nullptr) {
-    return nullptr;
-  }
-  for (const Operation& it : service->operations) {
-    if (it.name == call.operation) {
-      return &it;
-    }
-  }
-  return nullptr;
-}
-
 }  // namespace
 
 OwnerPath::OwnerPath(Blackboard& board, SuspectNotifier& notifier)
@@ -66,13 +47,15 @@
 CallResult OwnerPath::Admit(const Call& call) {
   const RefPtr<const ConfigSnapshot> snapshot = board_.config.Current();
   if (!snapshot) {
-    return NotRun(RefusalReason::kNoConfiguration,
-                  "the target's daemon has no configuration");
+    return CallResult::NotRun(RefusalReason::kNoConfiguration,
+                              "the target's daemon has no configuration");
   }
-  const Operation* const operation = FindOperation(*snapshot, call);
+  const Service* const service = snapshot->mesh().FindService(call.service);
+  const Operation* const operation =
+      service == nullptr ? nullptr : service->FindOperation(call.operation);
   if (operation == nullptr) {
-    return NotRun(RefusalReason::kUnknownRoute,
-                  "the target's daemon knows no such operation");
+    return CallResult::NotRun(RefusalReason::kUnknownRoute,
+                              "the target's daemon knows no such operation");
   }
   // The ingress may be a version ahead; a customer that is new here gets the
   // limits of an empty contract.
@@ -87,7 +70,7 @@
   const std::optional<AnnouncedTarget> target = board_.target.Current();
   if (!target) {
     board_.gate.Leave(entering, RunOutcome::kFailed);
-    return NotRun(RefusalReason::kNoTarget, "the target is gone");
+    return CallResult::NotRun(RefusalReason::kNoTarget, "the target is gone");
   }
   CallResult result = Run(entering, *target);
   board_.gate.Leave(entering, OutcomeOf(result));
--- a/modules/cumin_proxy/target_gate.cc
+++ b/modules/cumin_proxy/target_gate.cc
@@ -11,10 +11,6 @@
 /** A daemon that sent nothing for so long routes nothing here. */
 constexpr Duration kRoutingPeerAge = std::chrono::seconds(30);
 
-Refusal NotRun(RefusalReason reason, std::string detail) {
-  return Refusal{Verdict::kNotRun, reason, std::move(detail), Duration(0)};
-}
-
 }  // namespace
 
 TargetGate::TargetGate(VmId self, const Clock& clock, MetricRegistry& metrics)
--- a/modules/cumin_rpc/json_rpc_caller.h
+++ b/modules/cumin_rpc/json_rpc_caller.h
@@ -8,6 +8,9 @@
 
 namespace cumin {
 
+/** The path at which a daemon answers JSON-RPC messages. */
+constexpr char kRpcPath[] = "/-/rpc";
+
 /** Carries one JSON-RPC message to a peer and brings back its answer. */
 class JsonRpcTransport {
  public:
--- a/programs/cuminctl/daemon_client.cc
+++ b/programs/cuminctl/daemon_client.cc
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr char kDaemonRpcPath[] = "/-/rpc";
 constexpr int kStatusOk = 200;
 
 /** One JSON-RPC exchange with one daemon. */
@@ -21,7 +20,7 @@
   Result<std::string> Send(const std::string& message) override {
     HttpRequest request;
     request.method = "POST";
-    request.path = kDaemonRpcPath;
+    request.path = kRpcPath;
     request.headers.Set("Content-Type", "application/json");
     request.body = message;
     Result<HttpResponse> response =
