Crash records travel by PeerCaller

Cause: SuspectNotifier had a JSON-RPC transport of its own beside PeerCaller's, so its control bytes were not counted and a status other than 200 was read as an answer.

--- a/modules/cumin_proxy/suspect_notifier.cc
+++ b/modules/cumin_proxy/suspect_notifier.cc
@@ -1,9 +1,5 @@
 #include "cumin_proxy/suspect_notifier.h"
 
-#include "cumin_proxy/call_headers.h"
-#include "cumin_rpc/http_client.h"
-#include "cumin_rpc/json_rpc_caller.h"
-
 namespace cumin {
 
 namespace {
@@ -20,29 +16,6 @@
                "is missing or of the wrong type"};
 }
 
-/** One message over a connection of its own; crashes are rare. */
-class OneMessageTransport final : public JsonRpcTransport {
- public:
-  explicit OneMessageTransport(const Endpoint& peer) : client_(peer) {}
-
-  Result<std::string> Send(const std::string& message) override {
-    HttpRequest request;
-    request.method = "POST";
-    request.path = kRpcPath;
-    request.headers.Set("Content-Type", "application/json");
-    request.body = message;
-    Result<HttpResponse> response =
-        client_.Exchange(request, kPeerTimeout, ConnectionUse::kFreshOnly);
-    if (!response) {
-      return response.error();
-    }
-    return std::move(response.value().body);
-  }
-
- private:
-  HttpClient client_;
-};
-
 Result<SuspectRecord> DecodeSuspect(const Json::Value& in) {
   if (!in.isObject() || !in["fingerprint"].isUInt64()) {
     return BadField("fingerprint");
@@ -82,6 +55,9 @@
 
 }  // namespace
 
+SuspectNotifier::SuspectNotifier(Blackboard& board)
+    : board_(board), caller_(board.metrics, board.settings.region) {}
+
 void SuspectNotifier::Register(JsonRpcDispatcher& dispatcher) {
   dispatcher.Register(
       kMethod, [this](const Json::Value& in) -> Result<Json::Value> {
@@ -107,8 +83,8 @@
         board_.clock.Now() >= end) {
       continue;
     }
-    OneMessageTransport transport(it.endpoint);
-    const Result<Json::Value> answer = CallJsonRpc(transport, kMethod, message);
+    const Result<Json::Value> answer =
+        caller_.Call(it, kMethod, message, kPeerTimeout);
     if (!answer) {
       continue;
     }
--- a/modules/cumin_proxy/suspect_notifier.h
+++ b/modules/cumin_proxy/suspect_notifier.h
@@ -6,6 +6,7 @@
 
 #include "cumin_admission/suspect_table.h"
 #include "cumin_proxy/blackboard.h"
+#include "cumin_proxy/peer_caller.h"
 #include "cumin_rpc/json_rpc_dispatcher.h"
 
 namespace cumin {
@@ -16,7 +17,7 @@
 class SuspectNotifier {
  public:
   /** @param board  outlives this object */
-  explicit SuspectNotifier(Blackboard& board) : board_(board) {}
+  explicit SuspectNotifier(Blackboard& board);
 
   /** Registers the method by which peers tell their records. */
   void Register(JsonRpcDispatcher& dispatcher);
@@ -29,6 +30,7 @@
 
  private:
   Blackboard& board_;
+  PeerCaller caller_;
 };
 
 /** Packs records for peers. */
