--- /dev/null
+++ b/modules/cumin_admission/announcement_book.cc
@@ -0,0 +1,40 @@
+#include "cumin_admission/announcement_book.h"
+
+namespace cumin {
+
+AnnouncementOutcome AnnouncementBook::Take(const TargetAnnouncement& report,
+                                           MonoTime now) {
+  const bool is_known =
+      last_ && last_->instance == report.instance && last_->born == report.born;
+  if (!is_known) {
+    if (last_ && report.born <= last_->born) {
+      return AnnouncementOutcome::kStale;
+    }
+    last_ = report;
+    heard_at_ = now;
+    return AnnouncementOutcome::kNewTarget;
+  }
+  if (report.sequence <= last_->sequence) {
+    return AnnouncementOutcome::kStale;
+  }
+  const bool was_leaving = last_->leaving;
+  last_ = report;
+  last_->leaving = was_leaving || report.leaving;
+  heard_at_ = now;
+  return AnnouncementOutcome::kUpdated;
+}
+
+bool AnnouncementBook::Withdraw(const std::string& instance) {
+  if (!last_ || last_->instance != instance) {
+    return false;
+  }
+  last_->leaving = true;
+  return true;
+}
+
+bool AnnouncementBook::IsReady(MonoTime now) const {
+  return last_ && !last_->leaving && last_->slots > 0 &&
+         now - heard_at_ < silent_after_;
+}
+
+}  // namespace cumin
--- a/modules/cumin_admission/suspect_table.cc
+++ b/modules/cumin_admission/suspect_table.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "cumin_core/digest.h"
+#include "cumin_core/stable_hash.h"
 
 namespace cumin {
 
--- a/modules/cumin_core/cumin_core.h
+++ b/modules/cumin_core/cumin_core.h
@@ -20,6 +20,7 @@
 #include "cumin_core/metrics.h"
 #include "cumin_core/random.h"
 #include "cumin_core/ref_counted.h"
+#include "cumin_core/stable_hash.h"
 #include "cumin_core/target_load.h"
 #include "cumin_core/time.h"
 #include "cumin_core/tracing.h"
--- a/modules/cumin_core/digest.cc
+++ b/modules/cumin_core/digest.cc
@@ -31,13 +31,4 @@
   return text;
 }
 
-std::uint64_t StableHash(const std::string& bytes) {
-  const DigestBytes digest = Sha256(bytes);
-  std::uint64_t hash = 0;
-  for (std::size_t i = 0; i < sizeof(hash); ++i) {
-    hash = (hash << 8U) | digest.at(i);
-  }
-  return hash;
-}
-
 }  // namespace cumin
--- a/modules/cumin_core/json_object.cc
+++ b/modules/cumin_core/json_object.cc
@@ -50,6 +50,11 @@
   return it.isNull() ? 0 : it.asInt64();
 }
 
+double JsonObject::Number(const std::string& field) {
+  const Json::Value& it = Find(field, "a number", &Json::Value::isNumeric);
+  return it.isNull() ? 0 : it.asDouble();
+}
+
 bool JsonObject::Bool(const std::string& field) {
   return Find(field, "true or false", &Json::Value::isBool).asBool();
 }
--- a/modules/cumin_core/json_object.h
+++ b/modules/cumin_core/json_object.h
@@ -51,6 +51,9 @@
   /** Reads a whole number. */
   std::int64_t Int(const std::string& field);
 
+  /** Reads a number, whole or not. */
+  double Number(const std::string& field);
+
   /** Reads true or false. */
   bool Bool(const std::string& field);
 
--- /dev/null
+++ b/modules/cumin_core/stable_hash.cc
@@ -0,0 +1,12 @@
+#include "cumin_core/stable_hash.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace cumin {
+
+std::uint64_t StableHash(const std::string& bytes) {
+  return XXH64(bytes.data(), bytes.size(), 0);
+}
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_daemon/config_agent.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <string>
+
+#include "cumin_config/readiness_rule.h"
+#include "cumin_config/route_delta.h"
+#include "cumin_daemon/fleet_agent.h"
+#include "cumin_daemon/mesh_board.h"
+#include "cumin_daemon/peer_client.h"
+#include "cumin_fleet/anti_entropy.h"
+#include "cumin_fleet/fetcher_rotation.h"
+#include "cumin_store/async_store.h"
+
+namespace cumin {
+
+/** Where the operators' configuration stands in the store and how it reads. */
+class RouteSource {
+ public:
+  virtual ~RouteSource() = default;
+
+  /** @returns the key of the configuration */
+  virtual const std::string& key() const = 0;
+
+  /** Reads the key's value as a whole.
+      @returns the routes, or kInvalid with the field and the reason */
+  virtual Result<RefPtr<const RouteTable>> Parse(
+      const std::string& text) const = 0;
+};
+
+/** Brings each version of the routes into force here, forward only.
+
+    A few daemons of each region watch the store; the others get changes through
+    the region's tree, and by pulls from a peer that is ahead.
+*/
+class ConfigAgent final : public FleetAgent::Listener {
+ public:
+  /** All arguments outlive this. */
+  ConfigAgent(MeshBoard& board, PeerClient& peers, AsyncStore& store,
+              const RouteSource& source);
+
+  /** Starts to watch and repair.
+      @param fleet  outlives this */
+  void Start(FleetAgent& fleet);
+
+  /** Reads the store's version once.
+      @returns whether the store answered */
+  Task<bool> Fetch(ReadFreshness freshness);
+
+  /** Takes a change that a peer passed on.
+      @param from  the peer
+      @param root  where the change entered the region
+      @param body  a RouteDelta */
+  Task<bool> OnPush(VmId from, VmId root, std::string body);
+
+  /** @param have  the version that the asker has
+      @returns a RouteDelta from there, or empty when nothing is newer */
+  std::string OnPull(std::uint64_t have) const;
+
+  /** @returns the version in force, 0 for none */
+  std::uint64_t InForce() const;
+
+  /** Called after each change of the version in force. */
+  void SetOnChange(std::function<void()> on_change) {
+    on_change_ = std::move(on_change);
+  }
+
+ private:
+  void OnCompose(GossipMessage& message) override;
+  void OnMessage(const GossipMessage& message) override;
+  Task<void> WatchForever();
+  Task<bool> WatchOnce();
+  Task<void> RepairForever();
+  Task<bool> PullFrom(Endpoint peer);
+  bool IsOnDuty();
+  bool Take(const RefPtr<const RouteTable>& table, const char* source);
+  Result<bool> TakeDelta(const std::string& body, const char* source);
+  void SpreadFromHere();
+  void PassOn(const VmId& root, const VmId& node);
+  Task<void> HandToFirstFetcher(VmId first);
+  Task<void> PushTo(VmId child, VmId root);
+  Task<bool> Push(VmId child, VmId root);
+  Duration StoreQuiet() const;
+  void CheckReady();
+
+  MeshBoard& board_;
+  PeerClient& peers_;
+  AsyncStore& store_;
+  const RouteSource& source_;
+  FleetAgent* fleet_ = nullptr;
+  FetcherRotation rotation_;
+  AntiEntropy anti_entropy_;
+  ReadinessRule readiness_;
+  RetryBackoff backoff_;
+  /** Earlier versions, to make deltas from; the newest last. */
+  std::deque<RefPtr<const RouteTable>> recent_;
+  /** In the future while this daemon's own watch is in order. */
+  MonoTime store_heard_;
+  std::uint64_t watched_revision_ = 0;
+  std::function<void()> on_change_;
+};
+
+/** Paths of the requests that carry versions between daemons. */
+constexpr char kPushPath[] = "/-/config/push";
+constexpr char kPullPath[] = "/-/config/pull";
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_daemon/cumin_daemon.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/** @file
+    cumin_daemon: the daemon beside one target VM, driven by events on one loop.
+
+    `Ingress` serves the callers, `PeerClient` and `PeerHandler` carry calls
+    between daemons, `TargetPort` hands them to the target. `FleetAgent`,
+    `ConfigAgent` and `ContactKeeper` keep members, routes and the store's
+   entry. They share one `MeshBoard`; `MeshDaemon` starts and ends them.
+
+    Depends on: cumin_http, cumin_store (the interface), cumin_fleet,
+    cumin_config, cumin_routing, cumin_admission, cumin_core.
+*/
+
+#include "cumin_daemon/header_names.h"
+#include "cumin_daemon/mesh_board.h"
+#include "cumin_daemon/mesh_daemon.h"
+#include "cumin_daemon/mesh_settings.h"
--- /dev/null
+++ b/modules/cumin_daemon/hop_codec.cc
@@ -0,0 +1,108 @@
+#include "cumin_daemon/hop_codec.h"
+
+#include <sstream>
+#include <utility>
+
+namespace cumin {
+
+namespace {
+
+constexpr char kOutcomeField[] = "Cumin-Outcome";
+constexpr char kDetailField[] = "Cumin-Detail";
+constexpr int kKinds = 3;
+constexpr int kOutcomeStatus = 200;
+
+Error BadField(const char* field) {
+  return Error{ErrorCode::kProtocol, "peer", 0, field, "cannot be read"};
+}
+
+Duration Left(MonoTime until, MonoTime now) {
+  return std::chrono::duration_cast<Duration>(until - now);
+}
+
+}  // namespace
+
+HttpRequest EncodeHop(const MeshCall& call, MonoTime now) {
+  HttpRequest request = call.request;
+  std::ostringstream hop;
+  hop << call.attempt << ' ' << call.service << ' ' << call.caller << ' '
+      << call.route << ' ' << static_cast<int>(call.kind) << ' '
+      << call.priority << ' ' << Left(call.deadline, now).count() << ' '
+      << Left(call.wanted_by, now).count();
+  request.headers.Set(kHopField, hop.str());
+  return request;
+}
+
+Result<MeshCall> DecodeHop(HttpRequest request, MonoTime now) {
+  MeshCall call;
+  std::istringstream hop(request.headers.Get(kHopField));
+  std::string service;
+  std::string caller;
+  int kind = 0;
+  Duration::rep deadline_us = 0;
+  Duration::rep wanted_us = 0;
+  hop >> call.attempt >> service >> caller >> call.route >> kind >>
+      call.priority >> deadline_us >> wanted_us;
+  if (!hop || kind < 0 || kind >= kKinds) {
+    return BadField(kHopField);
+  }
+  call.service = ServiceId(service);
+  call.caller = ServiceId(caller);
+  call.kind = static_cast<RouteKind>(kind);
+  call.deadline = now + Duration(deadline_us);
+  call.wanted_by = now + Duration(wanted_us);
+  request.headers.Remove(kHopField);
+  request.headers.RemoveHopByHop();
+  call.request = std::move(request);
+  return call;
+}
+
+HttpResponse EncodeOutcome(CallOutcome outcome) {
+  HttpResponse response = std::move(outcome.response);
+  std::ostringstream text;
+  text << ToString(outcome.verdict) << ' ' << ToString(outcome.refusal.reason)
+       << ' ' << (outcome.reached_target ? 1 : 0) << ' '
+       << outcome.refusal.retry_after.count() << ' '
+       << (outcome.has_load ? 1 : 0) << ' ' << outcome.load.in_flight << ' '
+       << outcome.load.queued << ' ' << outcome.load.usable_slots << ' '
+       << (outcome.load.leaving ? 1 : 0);
+  if (outcome.verdict != Verdict::kRan) {
+    response = HttpResponse{};
+    response.status = kOutcomeStatus;
+    response.headers.Set(kDetailField, outcome.refusal.detail);
+  }
+  response.headers.Set(kOutcomeField, text.str());
+  return response;
+}
+
+Result<CallOutcome> DecodeOutcome(HttpResponse response) {
+  CallOutcome outcome;
+  std::istringstream text(response.headers.Get(kOutcomeField));
+  std::string verdict;
+  std::string reason;
+  int reached = 0;
+  int has_load = 0;
+  int leaving = 0;
+  Duration::rep retry_us = 0;
+  text >> verdict >> reason >> reached >> retry_us >> has_load >>
+      outcome.load.in_flight >> outcome.load.queued >>
+      outcome.load.usable_slots >> leaving;
+  if (!text || !ParseVerdict(verdict, &outcome.verdict)) {
+    return BadField(kOutcomeField);
+  }
+  outcome.refusal.verdict = outcome.verdict;
+  outcome.refusal.reason = ParseRefusalReason(reason);
+  outcome.refusal.detail = response.headers.Get(kDetailField);
+  outcome.refusal.retry_after = Duration(retry_us);
+  outcome.reached_target = reached != 0;
+  outcome.has_load = has_load != 0;
+  outcome.load.leaving = leaving != 0;
+  if (outcome.verdict == Verdict::kRan) {
+    response.headers.Remove(kOutcomeField);
+    response.headers.RemoveHopByHop();
+    outcome.response = std::move(response);
+  }
+  return outcome;
+}
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_daemon/ingress.cc
@@ -0,0 +1,267 @@
+#include "cumin_daemon/ingress.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+#include <utility>
+
+namespace cumin {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+/** Before the first configuration a caller may come back after this time. */
+constexpr Duration kStartingRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(100);
+/** Daemons that one attempt is offered to at most; each that refuses costs a
+    round trip. */
+constexpr int kMaxOffers = 4;
+/** Less time than this is no chance for another target. */
+constexpr Duration kMinTimeToRetry = std::chrono::milliseconds(20);
+
+/** @returns the host without a port, in lower case */
+std::string HostOf(const HttpRequest& request) {
+  std::string host = request.headers.Get("Host");
+  host.resize(std::min(host.size(), host.find(':')));
+  std::transform(host.begin(), host.end(), host.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return host;
+}
+
+std::string ToSeconds(Duration length) {
+  std::string text =
+      std::to_string(std::chrono::duration<double>(length).count());
+  text.resize(std::min(text.size(), text.find('.') + 4));
+  return text;
+}
+
+HttpResponse Refuse(int status, const std::string& detail,
+                    Duration retry_after = Duration(0)) {
+  HttpResponse response;
+  response.status = status;
+  response.headers.Set("Content-Type", "text/plain");
+  if (retry_after > Duration::zero()) {
+    response.headers.Set("Retry-After", ToSeconds(retry_after));
+  }
+  response.body = detail + "\n";
+  return response;
+}
+
+/** @returns true for a status by which this daemon promises "not run" */
+bool IsPromise(int status) {
+  return status == 408 || status == 421 || status == 429 ||
+         status == kUnavailable;
+}
+
+bool IsTargetFailure(const CallOutcome& outcome) {
+  return outcome.verdict == Verdict::kRan && outcome.response.status >= 500;
+}
+
+}  // namespace
+
+/** What one call has used up so far. */
+struct Ingress::Attempts {
+  std::vector<VmId> tried;
+  int offers = 0;
+  int reached_targets = 0;
+};
+
+Ingress::Ingress(MeshBoard& board, TargetPort& target, PeerClient& peers)
+    : board_(board), target_(target), peers_(peers) {}
+
+Task<HttpResponse> Ingress::Handle(HttpRequest request, CallerWatch& caller) {
+  std::string attempt = request.headers.Get(board_.names.attempt);
+  CallStory story(board_.log, attempt);
+  const RefPtr<const RouteTable> routes = board_.routes;
+  HttpResponse response;
+  if (!board_.ready || !routes) {
+    response =
+        Refuse(kUnavailable, "no configuration yet", kStartingRetryAfter);
+    story.Add(EventLine("ingress-refused").With("reason", "no-configuration"),
+              board_.clock.Now());
+    story.Close(true);
+    co_return response;
+  }
+  const std::string host = HostOf(request);
+  const Route* const route = routes->Find(host, request.path);
+  if (route == nullptr || attempt.empty()) {
+    story.Add(
+        EventLine("ingress-refused")
+            .With("reason",
+                  route == nullptr ? "unknown-route" : "no attempt id")
+            .With("host", host)
+            .With("path", request.path)
+            .With("version", static_cast<std::int64_t>(routes->version())),
+        board_.clock.Now());
+    story.Close(true);
+    co_return route == nullptr
+        ? Refuse(kNotFound, "no route for this host and path")
+        : Refuse(kBadRequest, board_.names.attempt + " is missing");
+  }
+  const Result<MeshCall> call =
+      MakeCall(std::move(request), *route, std::move(attempt));
+  if (!call) {
+    co_return Refuse(kBadRequest, Describe(call.error()));
+  }
+  story.Add(EventLine("ingress-accepted")
+                .With("route", route->name)
+                .With("service", call.value().service.str())
+                .With("version", static_cast<std::int64_t>(routes->version()))
+                .With("left_ms",
+                      Duration(call.value().deadline - board_.clock.Now())),
+            board_.clock.Now());
+  response = co_await Carry(call.value(), *route, caller, story);
+  story.Add(EventLine("ingress-answered").With("status", response.status),
+            board_.clock.Now());
+  story.Close(response.status >= 400);
+  board_.counters["answers_" + std::to_string(response.status)] += 1;
+  co_return response;
+}
+
+Result<MeshCall> Ingress::MakeCall(HttpRequest request, const Route& route,
+                                   std::string attempt) {
+  MeshCall call;
+  const MonoTime now = board_.clock.Now();
+  Duration limit = route.timeout;
+  const std::string deadline = request.headers.Get(board_.names.deadline_ms);
+  if (!deadline.empty()) {
+    char* end = nullptr;
+    const long millis = std::strtol(deadline.c_str(), &end, 10);
+    if (*end != '\0' || millis < 0) {
+      return Error{ErrorCode::kInvalid, "", 0, board_.names.deadline_ms,
+                   "must be a whole number of milliseconds"};
+    }
+    limit = std::min<Duration>(limit, std::chrono::milliseconds(millis));
+  }
+  call.attempt = std::move(attempt);
+  call.service = RouteTable::DrawService(route, board_.random.Unit());
+  call.caller = board_.settings.service;
+  call.route = route.name;
+  call.kind = route.kind;
+  call.priority = route.priority;
+  call.deadline = now + limit;
+  call.wanted_by = call.deadline;
+  request.headers.RemoveHopByHop();
+  call.request = std::move(request);
+  return call;
+}
+
+Task<HttpResponse> Ingress::Carry(const MeshCall& call, const Route& route,
+                                  CallerWatch& caller, CallStory& story) {
+  board_.retry_budgets[call.service].OnCall();
+  Attempts attempts;
+  CallOutcome outcome =
+      FailedOutcome(Verdict::kNotRun, RefusalReason::kNoTarget, "no target",
+                    kDefaultRetryAfter);
+  while (true) {
+    Refusal refusal;
+    ChooseRequest choice;
+    choice.service = call.service;
+    choice.tried = attempts.tried;
+    const std::optional<Member> target = board_.chooser.Choose(
+        choice, board_.clock.Now(), board_.random, &refusal);
+    if (!target) {
+      story.Add(
+          EventLine("no-target")
+              .With("detail", refusal.detail)
+              .With("tried", static_cast<std::int64_t>(attempts.tried.size())),
+          board_.clock.Now());
+      if (attempts.offers == 0) {
+        outcome.refusal = refusal;
+      }
+      break;
+    }
+    attempts.offers += 1;
+    attempts.tried.push_back(target->vm);
+    CallOutcome next = co_await RunAt(*target, call, caller, story);
+    if (next.reached_target) {
+      attempts.reached_targets += 1;
+    }
+    outcome = std::move(next);
+    if (caller.is_gone() || !MayTryAgain(call, route, outcome, attempts)) {
+      break;
+    }
+  }
+  co_return Answer(call, std::move(outcome));
+}
+
+Task<CallOutcome> Ingress::RunAt(const Member& target, const MeshCall& call,
+                                 CallerWatch& caller, CallStory& story) {
+  CallOutcome outcome;
+  if (target.vm == board_.settings.vm) {
+    outcome = co_await target_.Run(call, caller);
+  } else {
+    outcome = co_await peers_.Run(target.endpoint, call, caller, story);
+  }
+  const MonoTime now = board_.clock.Now();
+  board_.chooser.Finish(target.vm);
+  if (outcome.has_load) {
+    board_.chooser.OnLoad(target.vm, outcome.load, now);
+  }
+  const RefusalReason reason = outcome.refusal.reason;
+  const bool is_unwell = reason == RefusalReason::kPeerUnreachable ||
+                         reason == RefusalReason::kConnectionLost ||
+                         reason == RefusalReason::kTargetFailed ||
+                         reason == RefusalReason::kAnswerIncomplete;
+  if (is_unwell || IsTargetFailure(outcome)) {
+    board_.chooser.OnFailure(target.vm, now);
+  } else if (!caller.is_gone()) {
+    board_.chooser.OnSuccess(target.vm);
+  }
+  EventLine line("tried");
+  line.With("vm", target.vm.str()).With("verdict", ToString(outcome.verdict));
+  if (outcome.verdict != Verdict::kRan) {
+    line.With("reason", ToString(reason))
+        .With("detail", outcome.refusal.detail);
+  }
+  story.Add(line, now);
+  co_return outcome;
+}
+
+bool Ingress::MayTryAgain(const MeshCall& call, const Route& route,
+                          const CallOutcome& outcome,
+                          const Attempts& attempts) {
+  const bool is_answer =
+      outcome.verdict == Verdict::kRan && !IsTargetFailure(outcome);
+  if (is_answer || attempts.offers >= kMaxOffers) {
+    return false;
+  }
+  if (outcome.verdict != Verdict::kNotRun && !route.IsRepeatable()) {
+    return false;
+  }
+  if (board_.clock.Now() + kMinTimeToRetry >= call.deadline) {
+    return false;
+  }
+  if (!outcome.reached_target) {
+    return true;
+  }
+  if (attempts.reached_targets >= route.attempts) {
+    return false;
+  }
+  return board_.retry_budgets[call.service].TryTake(outcome.verdict);
+}
+
+HttpResponse Ingress::Answer(const MeshCall& call, CallOutcome outcome) const {
+  if (outcome.verdict == Verdict::kRan) {
+    if (!IsPromise(outcome.response.status)) {
+      return std::move(outcome.response);
+    }
+    // Passed on, these would promise that the call did not run.
+    return Refuse(kBadGateway, "the target failed with status " +
+                                   std::to_string(outcome.response.status));
+  }
+  const std::string detail =
+      std::string(ToString(outcome.verdict)) + ": " + outcome.refusal.detail;
+  if (outcome.verdict == Verdict::kNotRun) {
+    return Refuse(kUnavailable, detail,
+                  std::max(kDefaultRetryAfter, outcome.refusal.retry_after));
+  }
+  const bool is_late = board_.clock.Now() + kMinTimeToRetry >= call.deadline;
+  return Refuse(is_late ? kGatewayTimeout : kBadGateway, detail);
+}
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_daemon/ingress.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cumin_daemon/mesh_board.h"
+#include "cumin_daemon/mesh_call.h"
+#include "cumin_daemon/peer_client.h"
+#include "cumin_daemon/target_port.h"
+#include "cumin_http/http_listener.h"
+
+namespace cumin {
+
+/** Serves the callers on this VM: finds the route, chooses a target, retries
+    what may be retried, and answers with the target's whole answer or with a
+    true refusal.
+
+    A call is judged by the one version of the routes that was in force when it
+    arrived.
+*/
+class Ingress final : public HttpRequestHandler {
+ public:
+  /** All arguments outlive this. */
+  Ingress(MeshBoard& board, TargetPort& target, PeerClient& peers);
+
+  Task<HttpResponse> Handle(HttpRequest request, CallerWatch& caller) override;
+
+ private:
+  struct Attempts;
+
+  Task<HttpResponse> Carry(const MeshCall& call, const Route& route,
+                           CallerWatch& caller, CallStory& story);
+  Task<CallOutcome> RunAt(const Member& target, const MeshCall& call,
+                          CallerWatch& caller, CallStory& story);
+  bool MayTryAgain(const MeshCall& call, const Route& route,
+                   const CallOutcome& outcome, const Attempts& attempts);
+  HttpResponse Answer(const MeshCall& call, CallOutcome outcome) const;
+  Result<MeshCall> MakeCall(HttpRequest request, const Route& route,
+                            std::string attempt);
+
+  MeshBoard& board_;
+  TargetPort& target_;
+  PeerClient& peers_;
+};
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_daemon/mesh_board.cc
@@ -0,0 +1,27 @@
+#include "cumin_daemon/mesh_board.h"
+
+#include <utility>
+
+namespace cumin {
+
+namespace {
+
+/** Announcements that may be missed before a target counts as gone. */
+constexpr int kMissedAnnouncements = 4;
+
+}  // namespace
+
+MeshBoard::MeshBoard(MeshSettings mesh_settings, HeaderNames header_names,
+                     const asio::any_io_executor& loop,
+                     const Clock& time_source, std::uint64_t seed, int log_fd)
+    : settings(std::move(mesh_settings)),
+      names(std::move(header_names)),
+      executor(loop),
+      clock(time_source),
+      random(seed),
+      log(settings.vm.str(), time_source, log_fd),
+      connections(loop),
+      announcements(settings.announce_interval * kMissedAnnouncements),
+      chooser(Locality{settings.region, settings.failure_domain}) {}
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_daemon/mesh_board.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "cumin_admission/announcement_book.h"
+#include "cumin_config/route_table.h"
+#include "cumin_core/random.h"
+#include "cumin_core/time.h"
+#include "cumin_daemon/event_log.h"
+#include "cumin_daemon/header_names.h"
+#include "cumin_daemon/mesh_settings.h"
+#include "cumin_http/http_connection_pool.h"
+#include "cumin_routing/retry_budget.h"
+#include "cumin_routing/target_chooser.h"
+
+namespace cumin {
+
+/** What the parts of the daemon share. All of them run on one event loop, so
+    nothing here needs a lock.
+*/
+struct MeshBoard {
+  MeshBoard(MeshSettings mesh_settings, HeaderNames header_names,
+            const asio::any_io_executor& loop, const Clock& time_source,
+            std::uint64_t seed, int log_fd);
+  MeshBoard(const MeshBoard&) = delete;
+  MeshBoard& operator=(const MeshBoard&) = delete;
+
+  const MeshSettings settings;
+  const HeaderNames names;
+  const asio::any_io_executor executor;
+  const Clock& clock;
+  SeededRandom random;
+  EventLog log;
+  HttpConnectionPool connections;
+  /** The routes in force; null before the first version. */
+  RefPtr<const RouteTable> routes;
+  AnnouncementBook announcements;
+  TargetChooser chooser;
+  /** By service. */
+  std::map<ServiceId, RetryBudget> retry_budgets;
+  /** Counters by name, for the metrics page. */
+  std::map<std::string, std::uint64_t> counters;
+  /** This daemon ends soon. */
+  bool leaving = false;
+  /** This daemon holds the newest version that it could learn of. */
+  bool ready = false;
+};
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -0,0 +1,109 @@
+#include "cumin_daemon/peer_handler.h"
+
+#include <cstdlib>
+#include <utility>
+
+#include "cumin_daemon/hop_codec.h"
+
+namespace cumin {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr char kMetricsPath[] = "/-/metrics";
+
+HttpResponse Plain(int status, std::string body) {
+  HttpResponse response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+PeerHandler::PeerHandler(MeshBoard& board, TargetPort& target,
+                         FleetAgent& fleet, ConfigAgent& config)
+    : board_(board),
+      target_(target),
+      fleet_(fleet),
+      config_(config),
+      started_at_(board.clock.Now()) {}
+
+Task<HttpResponse> PeerHandler::Handle(HttpRequest request,
+                                       CallerWatch& caller) {
+  if (request.headers.Has(kHopField)) {
+    co_return co_await RunCall(std::move(request), caller);
+  }
+  if (request.path == kForbidPath) {
+    co_return Forbid(request.body);
+  }
+  if (request.path == kComparePath) {
+    const Result<std::string> answer = fleet_.OnCompare(request.body);
+    co_return answer ? Plain(200, answer.value())
+                     : Plain(kBadRequest, Describe(answer.error()));
+  }
+  if (request.path == kPullPath) {
+    const std::uint64_t have =
+        std::strtoull(request.query.c_str(), nullptr, 10);
+    co_return Plain(200, config_.OnPull(have));
+  }
+  if (request.path == kPushPath) {
+    co_return co_await Push(std::move(request));
+  }
+  if (request.path == kMetricsPath) {
+    co_return Metrics();
+  }
+  co_return Plain(kNotFound, "unknown path\n");
+}
+
+Task<HttpResponse> PeerHandler::RunCall(HttpRequest request,
+                                        CallerWatch& caller) {
+  const Result<MeshCall> call =
+      DecodeHop(std::move(request), board_.clock.Now());
+  if (!call) {
+    co_return Plain(kBadRequest, Describe(call.error()));
+  }
+  co_return EncodeOutcome(co_await target_.Run(call.value(), caller));
+}
+
+HttpResponse PeerHandler::Forbid(const std::string& attempt) {
+  const AttemptState state = target_.Forbid(attempt);
+  const Duration up_for = board_.clock.Now() - started_at_;
+  board_.log.Write(EventLine("forbid-asked")
+                       .With("id", attempt)
+                       .With("state", ToString(state)));
+  return Plain(200, std::to_string(static_cast<int>(state)) + " " +
+                        std::to_string(up_for.count()));
+}
+
+Task<HttpResponse> PeerHandler::Push(HttpRequest request) {
+  const std::size_t mark = request.query.find('&');
+  if (mark == std::string::npos) {
+    co_return Plain(kBadRequest, "sender and root are missing\n");
+  }
+  const VmId from(request.query.substr(0, mark));
+  const VmId root(request.query.substr(mark + 1));
+  const bool taken =
+      co_await config_.OnPush(from, root, std::move(request.body));
+  co_return Plain(taken ? 200 : kBadRequest, "");
+}
+
+HttpResponse PeerHandler::Metrics() const {
+  std::string text;
+  for (const auto& [name, value] : board_.counters) {
+    text += "cumin_" + name + "_total " + std::to_string(value) + "\n";
+  }
+  text += "cumin_config_version " + std::to_string(config_.InForce()) + "\n";
+  text += "cumin_members_live " + std::to_string(fleet_.live_count()) + "\n";
+  text += "cumin_log_lines_dropped_total " +
+          std::to_string(board_.log.dropped()) + "\n";
+  text += "cumin_connections_opened_total " +
+          std::to_string(board_.connections.opened()) + "\n";
+  text += "cumin_target_in_flight " + std::to_string(target_.Load().in_flight) +
+          "\n";
+  text += "cumin_target_queued " + std::to_string(target_.Load().queued) + "\n";
+  return Plain(200, text);
+}
+
+}  // namespace cumin
--- a/modules/cumin_proxy/fleet_codec.cc
+++ b/modules/cumin_fleet/fleet_codec.cc
@@ -1,4 +1,4 @@
-#include "cumin_proxy/fleet_codec.h"
+#include "cumin_fleet/fleet_codec.h"
 
 #include <string>
 
--- a/modules/cumin_fleet/probe_schedule.cc
+++ b/modules/cumin_fleet/probe_schedule.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "cumin_core/digest.h"
+#include "cumin_core/stable_hash.h"
 
 namespace cumin {
 
--- a/modules/cumin_fleet/spread_plan.cc
+++ b/modules/cumin_fleet/spread_plan.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <utility>
 
-#include "cumin_core/digest.h"
+#include "cumin_core/stable_hash.h"
 
 namespace cumin {
 
--- /dev/null
+++ b/modules/cumin_http/http_connection_pool.cc
@@ -0,0 +1,326 @@
+#include "cumin_http/http_connection_pool.h"
+
+#include <algorithm>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <map>
+#include <vector>
+
+#include "cumin_http/socket_options.h"
+
+namespace cumin {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Parser = http::response_parser<http::string_body>;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+/** Answers of earlier requests that one exchange passes over at most. */
+constexpr int kMaxForeignAnswers = 2;
+/** A connection is given up this long before its other end would close it. */
+constexpr Duration kIdleMargin = std::chrono::seconds(1);
+/** Connections kept idle for one endpoint. */
+constexpr std::size_t kMaxIdle = 16;
+
+struct Connection {
+  explicit Connection(const asio::any_io_executor& executor)
+      : stream(executor) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  SteadyTime idle_since;
+  /** How long the other end keeps it open, as far as it said. */
+  Duration keep_for = std::chrono::hours(1);
+};
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+/** @returns the time in a Keep-Alive field, or a long time without one */
+Duration KeepAliveTime(const std::string& field) {
+  static constexpr char kName[] = "timeout=";
+  const std::size_t at = field.find(kName);
+  if (at == std::string::npos) {
+    return std::chrono::hours(1);
+  }
+  const long seconds =
+      std::strtol(field.c_str() + at + sizeof(kName) - 1, nullptr, 10);
+  const Duration length = std::chrono::seconds(seconds);
+  return std::max<Duration>(Duration::zero(), length - kIdleMargin);
+}
+
+bool IsTimeout(const error_code& ec) { return ec == beast::error::timeout; }
+
+bool IsGarbled(const error_code& ec) {
+  return ec.category() ==
+             http::make_error_code(http::error::bad_version).category() &&
+         ec != http::error::end_of_stream;
+}
+
+ExchangeResult Failed(ExchangeEnd end, const std::string& reason) {
+  ExchangeResult result;
+  result.end = end;
+  result.reason = reason;
+  return result;
+}
+
+HttpResponse TakeResponse(Parser& parser) {
+  auto message = parser.release();
+  HttpResponse response;
+  response.status = static_cast<int>(message.result_int());
+  for (const auto& it : message) {
+    response.headers.Add(std::string(it.name_string()),
+                         std::string(it.value()));
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+}  // namespace
+
+const char* ToString(ExchangeEnd end) {
+  switch (end) {
+    case ExchangeEnd::kAnswered:
+      return "answered";
+    case ExchangeEnd::kNotSent:
+      return "not-sent";
+    case ExchangeEnd::kBroken:
+      return "broken";
+    case ExchangeEnd::kTimedOut:
+      return "timed-out";
+    case ExchangeEnd::kGarbled:
+      return "garbled";
+    case ExchangeEnd::kAborted:
+      return "aborted";
+  }
+  return "unknown";
+}
+
+void ExchangeAbort::Abort() {
+  is_aborted_ = true;
+  if (const auto stream = stream_.lock()) {
+    close_(stream.get());
+  }
+}
+
+class HttpConnectionPool::Implementation {
+ public:
+  explicit Implementation(const asio::any_io_executor& executor)
+      : executor_(executor) {}
+
+  ConnectionPtr TakeIdle(const Endpoint& to, Duration max_idle) {
+    const auto found = idle_.find(to);
+    if (found == idle_.end()) {
+      return nullptr;
+    }
+    const SteadyTime now = std::chrono::steady_clock::now();
+    while (!found->second.empty()) {
+      ConnectionPtr connection = std::move(found->second.back());
+      found->second.pop_back();
+      const bool is_fresh = now - connection->idle_since <
+                            std::min(max_idle, connection->keep_for);
+      if (is_fresh && !HasUnexpectedInput(connection->stream.socket())) {
+        return connection;
+      }
+    }
+    return nullptr;
+  }
+
+  void Keep(const Endpoint& to, ConnectionPtr connection) {
+    std::vector<ConnectionPtr>& list = idle_[to];
+    if (list.size() >= kMaxIdle) {
+      return;
+    }
+    connection->buffer.clear();
+    connection->buffer.shrink_to_fit();
+    connection->idle_since = std::chrono::steady_clock::now();
+    list.push_back(std::move(connection));
+  }
+
+  void CloseExpired() {
+    const SteadyTime now = std::chrono::steady_clock::now();
+    for (auto it = idle_.begin(); it != idle_.end();) {
+      auto& list = it->second;
+      list.erase(std::remove_if(list.begin(), list.end(),
+                                [&](const ConnectionPtr& connection) {
+                                  return IsExpired(*connection, now);
+                                }),
+                 list.end());
+      it = list.empty() ? idle_.erase(it) : std::next(it);
+    }
+  }
+
+  void CloseIdle(const Endpoint& to) { idle_.erase(to); }
+
+  asio::any_io_executor executor_;
+  std::uint64_t opened_ = 0;
+
+ private:
+  static bool IsExpired(Connection& connection, SteadyTime now) {
+    constexpr Duration kLongestIdle = std::chrono::seconds(30);
+    return now - connection.idle_since >=
+               std::min(kLongestIdle, connection.keep_for) ||
+           HasUnexpectedInput(connection.stream.socket());
+  }
+
+  std::map<Endpoint, std::vector<ConnectionPtr>> idle_;
+};
+
+namespace {
+
+/** Writes the request.
+    @returns the library's error */
+Task<error_code> WriteRequest(Connection& connection, const Endpoint& to,
+                              const HttpRequest& request) {
+  http::request<http::span_body<const char>> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.query.empty() ? request.path
+                                       : request.path + "?" + request.query);
+  for (const HttpHeader& it : request.headers.all()) {
+    message.insert(it.name, it.value);
+  }
+  if (message.find(http::field::host) == message.end()) {
+    message.set(http::field::host, ToString(to));
+  }
+  const bool has_body = !request.body.empty() || request.method == "POST" ||
+                        request.method == "PUT";
+  if (has_body) {
+    message.body() =
+        beast::span<const char>(request.body.data(), request.body.size());
+    message.content_length(request.body.size());
+  }
+  error_code ec;
+  co_await http::async_write(connection.stream, message,
+                             asio::redirect_error(asio::use_awaitable, ec));
+  co_return ec;
+}
+
+ExchangeResult FailedAfterSend(const error_code& ec) {
+  if (IsTimeout(ec)) {
+    return Failed(ExchangeEnd::kTimedOut, "no answer in time");
+  }
+  return Failed(IsGarbled(ec) ? ExchangeEnd::kGarbled : ExchangeEnd::kBroken,
+                ec.message());
+}
+
+bool BelongsToRequest(const Parser& parser, const ExchangeOptions& options) {
+  return options.correlation_field.empty() ||
+         parser.get()[options.correlation_field] == options.correlation_value;
+}
+
+/** Reads answers until the request's own.
+    @param[out] may_keep  whether the connection carries nothing but it */
+Task<ExchangeResult> ReadAnswer(Connection& connection,
+                                const HttpRequest& request,
+                                const ExchangeOptions& options,
+                                bool* may_keep) {
+  for (int foreign = 0; foreign <= kMaxForeignAnswers; ++foreign) {
+    Parser parser;
+    parser.header_limit(kMaxHeaderBytes);
+    parser.body_limit(options.max_body_bytes);
+    parser.skip(request.method == "HEAD");
+    error_code ec;
+    co_await http::async_read(connection.stream, connection.buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+      co_return FailedAfterSend(ec);
+    }
+    const bool is_interim = parser.get().result_int() < 200;
+    if (!is_interim && BelongsToRequest(parser, options)) {
+      *may_keep = foreign == 0 && parser.keep_alive() &&
+                  !parser.get().need_eof() && connection.buffer.size() == 0;
+      ExchangeResult result;
+      result.end = ExchangeEnd::kAnswered;
+      result.response = TakeResponse(parser);
+      co_return result;
+    }
+    if (!parser.keep_alive()) {
+      break;
+    }
+  }
+  co_return Failed(ExchangeEnd::kGarbled, "the answer of another request");
+}
+
+}  // namespace
+
+HttpConnectionPool::HttpConnectionPool(const asio::any_io_executor& executor)
+    : implementation_(std::make_unique<Implementation>(executor)) {}
+
+HttpConnectionPool::~HttpConnectionPool() = default;
+
+Task<ExchangeResult> HttpConnectionPool::Exchange(
+    const Endpoint& to, const HttpRequest& request,
+    const ExchangeOptions& options, ExchangeAbort* abort) {
+  const SteadyTime end = std::chrono::steady_clock::now() + options.timeout;
+  ConnectionPtr connection = implementation_->TakeIdle(to, options.max_idle);
+  const bool was_reused = connection != nullptr;
+  if (!was_reused) {
+    connection = std::make_shared<Connection>(implementation_->executor_);
+    implementation_->opened_ += 1;
+  }
+  beast::tcp_stream& stream = connection->stream;
+  if (abort != nullptr) {
+    if (abort->is_aborted_) {
+      co_return Failed(ExchangeEnd::kNotSent, "aborted");
+    }
+    abort->stream_ = connection;
+    abort->close_ = [](void* it) {
+      static_cast<Connection*>(it)->stream.close();
+    };
+  }
+  if (!was_reused) {
+    error_code ec;
+    stream.expires_after(std::min(options.connect_timeout, options.timeout));
+    co_await stream.async_connect(
+        ToTcp(to), asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+      co_return Failed(ExchangeEnd::kNotSent,
+                       "cannot connect: " + ec.message());
+    }
+    SetSilenceLimits(stream.socket(), SilenceLimits{});
+  }
+  stream.expires_at(end);
+  const error_code ec = co_await WriteRequest(*connection, to, request);
+  bool may_keep = false;
+  ExchangeResult result;
+  if (ec) {
+    result = FailedAfterSend(ec);
+  } else {
+    result = co_await ReadAnswer(*connection, request, options, &may_keep);
+  }
+  result.was_reused = was_reused;
+  if (abort != nullptr) {
+    abort->stream_.reset();
+    if (abort->is_aborted_ && result.end != ExchangeEnd::kAnswered) {
+      result.end = ExchangeEnd::kAborted;
+    }
+  }
+  if (may_keep && result.end == ExchangeEnd::kAnswered) {
+    stream.expires_never();
+    connection->keep_for =
+        KeepAliveTime(result.response.headers.Get("Keep-Alive"));
+    implementation_->Keep(to, std::move(connection));
+  }
+  co_return result;
+}
+
+void HttpConnectionPool::CloseExpired() { implementation_->CloseExpired(); }
+
+void HttpConnectionPool::CloseIdle(const Endpoint& to) {
+  implementation_->CloseIdle(to);
+}
+
+std::uint64_t HttpConnectionPool::opened() const {
+  return implementation_->opened_;
+}
+
+}  // namespace cumin
--- /dev/null
+++ b/modules/cumin_http/http_listener.cc
@@ -0,0 +1,332 @@
+#include "cumin_http/http_listener.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/intrusive/list.hpp>
+
+#include "cumin_http/socket_options.h"
+
+namespace cumin {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Parser = http::request_parser<http::string_body>;
+
+/** Room for the first bytes of a request; most requests fit. */
+constexpr std::size_t kFirstReadBytes = 1024;
+/** Time for a caller to take an answer, beyond which it is taken as gone. */
+constexpr Duration kWriteTimeout = std::chrono::seconds(10);
+/** Pause after a failed accept, for instance without free descriptors. */
+constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
+
+HttpResponse PlainAnswer(int status) {
+  HttpResponse answer;
+  answer.status = status;
+  return answer;
+}
+
+/** @returns the status for a request that could not be read, or 0 when there is
+    nobody to answer */
+int StatusOf(const error_code& ec) {
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+    return 431;
+  }
+  if (ec == http::error::body_limit) {
+    return 413;
+  }
+  if (ec == beast::error::timeout) {
+    return 408;
+  }
+  const bool is_cut =
+      ec == http::error::end_of_stream || ec == http::error::partial_message ||
+      ec.category() !=
+          http::make_error_code(http::error::end_of_stream).category();
+  return is_cut ? 0 : 400;
+}
+
+HttpRequest TakeRequest(Parser& parser) {
+  auto message = parser.release();
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  const std::string target(message.target());
+  const std::size_t mark = target.find('?');
+  // A '?' without a query stays part of the path, so that nothing is lost.
+  if (mark == std::string::npos || mark + 1 == target.size()) {
+    request.path = target;
+  } else {
+    request.path = target.substr(0, mark);
+    request.query = target.substr(mark + 1);
+  }
+  for (const auto& it : message) {
+    request.headers.Add(std::string(it.name_string()), std::string(it.value()));
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+}  // namespace
+
+void CallerWatch::NotifyGone() {
+  if (is_gone_) {
+    return;
+  }
+  is_gone_ = true;
+  if (Listener* const listener = std::exchange(listener_, nullptr)) {
+    listener->OnCallerGone();
+  }
+}
+
+class HttpListener::Implementation
+    : public std::enable_shared_from_this<Implementation> {
+ public:
+  Implementation(const asio::any_io_executor& executor,
+                 HttpRequestHandler& handler)
+      : executor_(executor), acceptor_(executor), handler_(handler) {}
+
+  Result<Endpoint> Start(const Endpoint& listen) {
+    error_code ec;
+    const auto address = ToTcp(listen);
+    acceptor_.open(address.protocol(), ec);
+    if (!ec) {
+      acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
+      acceptor_.bind(address, ec);
+    }
+    if (!ec) {
+      acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+      return Error{ErrorCode::kUnavailable, ToString(listen), 0, "",
+                   "cannot listen: " + ec.message()};
+    }
+    asio::co_spawn(executor_, Accept(shared_from_this()), asio::detached);
+    return Endpoint{listen.address, acceptor_.local_endpoint().port()};
+  }
+
+  void StopAccepting() {
+    closes_after_answers_ = true;
+    error_code ignored;
+    acceptor_.close(ignored);
+    for (Connection& it : connections_) {
+      if (!it.is_busy) {
+        it.stream.cancel();
+      }
+    }
+  }
+
+  ListenerLimits limits_;
+  bool closes_after_answers_ = false;
+  int busy_ = 0;
+
+  int open_connections() const { return static_cast<int>(connections_.size()); }
+
+ private:
+  struct Connection
+      : boost::intrusive::list_base_hook<
+            boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+    explicit Connection(asio::ip::tcp::socket socket)
+        : stream(std::move(socket)) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    /** The caller of the request under way. */
+    CallerWatch* caller = nullptr;
+    bool is_busy = false;
+    /** A wait for the caller's hang-up is pending. */
+    bool is_watched = false;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+  using Self = std::shared_ptr<Implementation>;
+
+  /** Counts a connection as busy for as long as this lives. */
+  class BusyMark {
+   public:
+    BusyMark(Implementation& owner, Connection& connection)
+        : owner_(owner), connection_(connection) {
+      connection_.is_busy = true;
+      ++owner_.busy_;
+    }
+    ~BusyMark() {
+      connection_.is_busy = false;
+      --owner_.busy_;
+    }
+    BusyMark(const BusyMark&) = delete;
+    BusyMark& operator=(const BusyMark&) = delete;
+
+   private:
+    Implementation& owner_;
+    Connection& connection_;
+  };
+
+  Task<void> Accept([[maybe_unused]] Self self) {
+    while (acceptor_.is_open()) {
+      error_code ec;
+      asio::ip::tcp::socket socket = co_await acceptor_.async_accept(
+          asio::redirect_error(asio::use_awaitable, ec));
+      if (ec == asio::error::operation_aborted) {
+        co_return;
+      }
+      if (ec) {
+        co_await SleepFor(kAcceptPause);
+        continue;
+      }
+      SetSilenceLimits(socket, SilenceLimits{});
+      auto connection = std::make_shared<Connection>(std::move(socket));
+      connections_.push_back(*connection);
+      asio::co_spawn(executor_, Serve(self, connection), asio::detached);
+    }
+  }
+
+  Task<void> Serve([[maybe_unused]] Self self, ConnectionPtr connection) {
+    bool stays_open = true;
+    while (stays_open) {
+      stays_open = co_await ServeOne(connection);
+    }
+    error_code ignored;
+    connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send,
+                                         ignored);
+    connection->stream.close();
+  }
+
+  /** @returns whether the connection stays open */
+  Task<bool> ServeOne(ConnectionPtr connection) {
+    const bool has_request = co_await WaitForRequest(*connection);
+    if (!has_request) {
+      co_return false;
+    }
+    const BusyMark busy(*this, *connection);
+    Parser parser;
+    const error_code ec = co_await Read(*connection, parser);
+    if (ec) {
+      const int status = StatusOf(ec);
+      if (status != 0) {
+        co_await Write(*connection, PlainAnswer(status), false);
+      }
+      co_return false;
+    }
+    const bool keep_alive = parser.get().keep_alive();
+    CallerWatch caller;
+    connection->caller = &caller;
+    WatchForHangUp(connection);
+    HttpResponse answer = co_await handler_.Handle(TakeRequest(parser), caller);
+    connection->caller = nullptr;
+    const bool stays = keep_alive && !closes_after_answers_;
+    const bool is_written =
+        co_await Write(*connection, std::move(answer), stays);
+    co_return is_written&& stays;
+  }
+
+  Task<bool> WaitForRequest(Connection& connection) {
+    if (connection.buffer.size() > 0) {
+      co_return true;
+    }
+    if (closes_after_answers_ && !acceptor_.is_open()) {
+      co_return false;
+    }
+    connection.buffer.clear();
+    connection.buffer.shrink_to_fit();
+    connection.stream.expires_after(limits_.idle_timeout);
+    error_code ec;
+    const std::size_t n = co_await connection.stream.async_read_some(
+        connection.buffer.prepare(kFirstReadBytes),
+        asio::redirect_error(asio::use_awaitable, ec));
+    connection.buffer.commit(n);
+    co_return !ec;
+  }
+
+  Task<error_code> Read(Connection& connection, Parser& parser) {
+    parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
+    parser.body_limit(limits_.max_body_bytes);
+    error_code ec;
+    connection.stream.expires_after(limits_.header_timeout);
+    co_await http::async_read_header(
+        connection.stream, connection.buffer, parser,
+        asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && !parser.is_done()) {
+      connection.stream.expires_after(limits_.body_timeout);
+      co_await http::async_read(connection.stream, connection.buffer, parser,
+                                asio::redirect_error(asio::use_awaitable, ec));
+    }
+    connection.stream.expires_never();
+    co_return ec;
+  }
+
+  Task<bool> Write(Connection& connection, HttpResponse answer,
+                   bool keep_alive) {
+    http::response<http::span_body<const char>> message;
+    message.version(11);
+    message.result(static_cast<unsigned>(answer.status));
+    for (const HttpHeader& it : answer.headers.all()) {
+      message.insert(it.name, it.value);
+    }
+    message.body() =
+        beast::span<const char>(answer.body.data(), answer.body.size());
+    message.content_length(answer.body.size());
+    message.keep_alive(keep_alive);
+    error_code ec;
+    connection.stream.expires_after(kWriteTimeout);
+    co_await http::async_write(connection.stream, message,
+                               asio::redirect_error(asio::use_awaitable, ec));
+    connection.stream.expires_never();
+    co_return !ec;
+  }
+
+  /** Notifies the request's handler when the caller closes. Bytes of a next
+      request hide a later hang-up until they are read. */
+  void WatchForHangUp(const ConnectionPtr& connection) {
+    if (connection->is_watched) {
+      return;
+    }
+    connection->is_watched = true;
+    connection->stream.socket().async_wait(
+        asio::socket_base::wait_read, [connection](const error_code& ec) {
+          connection->is_watched = false;
+          if (connection->caller != nullptr &&
+              (ec || IsClosedByPeer(connection->stream.socket()))) {
+            connection->caller->NotifyGone();
+          }
+        });
+  }
+
+  asio::any_io_executor executor_;
+  asio::ip::tcp::acceptor acceptor_;
+  HttpRequestHandler& handler_;
+  boost::intrusive::list<Connection,
+                         boost::intrusive::constant_time_size<false>>
+      connections_;
+};
+
+HttpListener::HttpListener(const asio::any_io_executor& executor,
+                           HttpRequestHandler& handler)
+    : implementation_(std::make_shared<Implementation>(executor, handler)) {}
+
+HttpListener::~HttpListener() { implementation_->StopAccepting(); }
+
+Result<Endpoint> HttpListener::Start(const Endpoint& listen) {
+  return implementation_->Start(listen);
+}
+
+void HttpListener::SetLimits(const ListenerLimits& limits) {
+  implementation_->limits_ = limits;
+}
+
+void HttpListener::CloseAfterAnswers() {
+  implementation_->closes_after_answers_ = true;
+}
+
+void HttpListener::StopAccepting() { implementation_->StopAccepting(); }
+
+int HttpListener::busy_connections() const { return implementation_->busy_; }
+
+int HttpListener::open_connections() const {
+  return implementation_->open_connections();
+}
+
+}  // namespace cumin
--- a/modules/cumin_rpc/http_message.h
+++ b/modules/cumin_http/http_message.h
@@ -23,6 +23,17 @@
   /** Replaces every value of the name by one. */
   void Set(const std::string& name, const std::string& value);
 
+  /** Adds a field behind those of the same name. */
+  void Add(std::string name, std::string value);
+
+  /** Drops every field of the name. */
+  void Remove(const std::string& name);
+
+  /** Drops the fields that concern one connection only: Connection and those
+      that it names, Keep-Alive, Transfer-Encoding, Content-Length and their
+      like. */
+  void RemoveHopByHop();
+
   const std::vector<HttpHeader>& all() const { return fields_; }
 
  private:
--- a/modules/cumin_proxy/call.h
+++ b/modules/cumin_proxy/call.h
@@ -9,7 +9,7 @@
 #include "cumin_core/time.h"
 #include "cumin_core/verdict.h"
 #include "cumin_proxy/dispatch_guard.h"
-#include "cumin_rpc/http_message.h"
+#include "cumin_http/http_message.h"
 
 namespace cumin {
 
--- a/modules/cumin_proxy/fleet_controller.cc
+++ b/modules/cumin_proxy/fleet_controller.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "cumin_core/logging.h"
-#include "cumin_proxy/fleet_codec.h"
+#include "cumin_fleet/fleet_codec.h"
 
 namespace cumin {
 
--- a/modules/cumin_proxy/fleet_directory.cc
+++ b/modules/cumin_proxy/fleet_directory.cc
@@ -4,7 +4,7 @@
 
 #include "cumin_core/json_text.h"
 #include "cumin_core/logging.h"
-#include "cumin_proxy/fleet_codec.h"
+#include "cumin_fleet/fleet_codec.h"
 
 namespace cumin {
 
--- a/modules/cumin_proxy/order_path.cc
+++ b/modules/cumin_proxy/order_path.cc
@@ -5,7 +5,7 @@
 #include <utility>
 #include <variant>
 
-#include "cumin_core/digest.h"
+#include "cumin_core/stable_hash.h"
 #include "cumin_proxy/dispatch_guard.h"
 #include "cumin_proxy/shard_candidates.h"
 
--- a/modules/cumin_proxy/peer_caller.h
+++ b/modules/cumin_proxy/peer_caller.h
@@ -10,7 +10,7 @@
 #include "cumin_core/metrics.h"
 #include "cumin_core/time.h"
 #include "cumin_fleet/member.h"
-#include "cumin_rpc/http_message.h"
+#include "cumin_http/http_message.h"
 
 namespace cumin {
 
--- a/modules/cumin_proxy/rate_controller.cc
+++ b/modules/cumin_proxy/rate_controller.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "cumin_core/digest.h"
+#include "cumin_core/stable_hash.h"
 #include "cumin_core/json_object.h"
 
 namespace cumin {
--- a/modules/cumin_proxy/status_service.cc
+++ b/modules/cumin_proxy/status_service.cc
@@ -8,7 +8,7 @@
 
 #include "cumin_config/config_queries.h"
 #include "cumin_config/config_store_reader.h"
-#include "cumin_proxy/fleet_codec.h"
+#include "cumin_fleet/fleet_codec.h"
 
 namespace cumin {
 
--- a/modules/cumin_rpc/cumin_rpc.h
+++ b/modules/cumin_rpc/cumin_rpc.h
@@ -12,7 +12,7 @@
 
 #include "cumin_rpc/http_client.h"
 #include "cumin_rpc/http_client_pool.h"
-#include "cumin_rpc/http_message.h"
+#include "cumin_http/http_message.h"
 #include "cumin_rpc/http_server.h"
 #include "cumin_rpc/json_rpc_caller.h"
 #include "cumin_rpc/json_rpc_dispatcher.h"
--- a/modules/cumin_rpc/http_client.h
+++ b/modules/cumin_rpc/http_client.h
@@ -5,7 +5,7 @@
 #include "cumin_core/endpoint.h"
 #include "cumin_core/error.h"
 #include "cumin_core/time.h"
-#include "cumin_rpc/http_message.h"
+#include "cumin_http/http_message.h"
 
 namespace cumin {
 
--- a/tests/process/small_mesh.h
+++ b/tests/process/small_mesh.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "cumin_rpc/http_message.h"
+#include "cumin_http/http_message.h"
 #include "support/test_mesh.h"
 
 namespace cumin::test {
--- a/tests/standins/target_standin/run_log.h
+++ b/tests/standins/target_standin/run_log.h
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "cumin_core/time.h"
-#include "cumin_rpc/http_message.h"
+#include "cumin_http/http_message.h"
 
 namespace cumin::test {
 
--- a/tests/standins/target_standin/target_standin.h
+++ b/tests/standins/target_standin/target_standin.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "cumin_core/time.h"
-#include "cumin_rpc/http_message.h"
+#include "cumin_http/http_message.h"
 #include "standins/target_standin/raw_listener.h"
 #include "standins/target_standin/run_log.h"
 
--- a/tests/support/test_mesh.h
+++ b/tests/support/test_mesh.h
@@ -9,7 +9,7 @@
 #include "cumin_config/acceptance_outcome.h"
 #include "cumin_config/change_request.h"
 #include "cumin_core/endpoint.h"
-#include "cumin_rpc/http_message.h"
+#include "cumin_http/http_message.h"
 #include "support/child_process.h"
 #include "support/temp_dir.h"
 
