Late calls wait behind timely ones, and full targets are weighed by expected delay

A call that cannot be timely any more goes behind those that can; a caller that came back is known by its shorter time.

--- a/modules/cumin_admission/dispatch_queue.cc
+++ b/modules/cumin_admission/dispatch_queue.cc
@@ -10,6 +10,11 @@
 constexpr std::size_t kMaxOperations = 64;
 /** Waiting calls for each slot at most, whatever they are expected to take. */
 constexpr int kMaxQueuedPerSlot = 16;
+/** One late call may wait for this many slots. */
+constexpr int kSlotsPerLateCall = 2;
+/** Calls of this priority are made by running calls, which fail without them.
+ */
+constexpr int kMostUrgent = 0;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -36,28 +41,38 @@
     Start(call, now);
     return DispatchDecision::kStarted;
   }
-  const Duration wait = ExpectedWait(call.priority, now);
-  const MonoTime end = now + wait + time;
-  if (end > call.deadline || queued() >= slots_ * kMaxQueuedPerSlot) {
-    const Duration excess =
-        std::chrono::duration_cast<Duration>(end - call.deadline);
-    *refusal = NotRun(RefusalReason::kQueueFull,
-                      "the target's queue is too long for the time left",
-                      std::max(kMinRetryAfter, std::min(wait, excess)));
-    return DispatchDecision::kRefused;
-  }
+  MonoTime end = now + ExpectedWait(call, now) + time;
   if (end > call.wanted_by) {
-    const Duration excess =
-        std::chrono::duration_cast<Duration>(end - call.wanted_by);
-    *refusal = NotRun(RefusalReason::kShed,
-                      "the target's queue is too long for a timely answer",
-                      std::max(kMinRetryAfter, std::min(wait, excess)));
-    return DispatchDecision::kRefused;
+    call.is_late = true;
+    end = now + ExpectedWait(call, now) + time;
+    const int limit = std::max(1, slots_ / kSlotsPerLateCall);
+    if (call.priority > kMostUrgent && WaitingLate() >= limit) {
+      return Refuse(call, RefusalReason::kShed, end, now, refusal);
+    }
+  }
+  if (end > call.deadline || queued() >= slots_ * kMaxQueuedPerSlot) {
+    return Refuse(call, RefusalReason::kQueueFull, end, now, refusal);
   }
   waiting_.insert(call);
   return DispatchDecision::kQueued;
 }
 
+DispatchDecision DispatchQueue::Refuse(const DispatchCall& call,
+                                       RefusalReason reason, MonoTime end,
+                                       MonoTime now, Refusal* refusal) const {
+  const Duration excess = std::chrono::duration_cast<Duration>(
+      end - std::max(now, std::min(call.wanted_by, call.deadline)));
+  *refusal = NotRun(reason, "the target's queue is too long for the time left",
+                    std::max(kMinRetryAfter, excess));
+  return DispatchDecision::kRefused;
+}
+
+int DispatchQueue::WaitingLate() const {
+  return static_cast<int>(
+      std::count_if(waiting_.begin(), waiting_.end(),
+                    [](const DispatchCall& it) { return it.is_late; }));
+}
+
 void DispatchQueue::Finish(DispatchCall& call, MonoTime now,
                            bool was_answered) {
   in_flight_ -= 1;
@@ -101,11 +116,12 @@
   }
 }
 
-TargetLoad DispatchQueue::Load() const {
+TargetLoad DispatchQueue::Load(MonoTime now) const {
   TargetLoad load;
   load.in_flight = in_flight_;
   load.queued = queued();
   load.usable_slots = slots_;
+  load.mean_time = MeanTime(now);
   return load;
 }
 
@@ -115,13 +131,14 @@
   return it == times_.end() ? MeanTime(now) : it->second.Estimate(now);
 }
 
-Duration DispatchQueue::ExpectedWait(int priority, MonoTime now) const {
+Duration DispatchQueue::ExpectedWait(const DispatchCall& call,
+                                     MonoTime now) const {
   if (in_flight_ < slots_ || slots_ <= 0) {
     return Duration::zero();
   }
-  const auto before = std::count_if(
-      waiting_.begin(), waiting_.end(),
-      [&](const DispatchCall& it) { return it.priority <= priority; });
+  const auto before =
+      std::count_if(waiting_.begin(), waiting_.end(),
+                    [&](const DispatchCall& it) { return it < call; });
   return MeanTime(now) * (before + 1) / slots_;
 }
 
--- a/modules/cumin_admission/dispatch_queue.h
+++ b/modules/cumin_admission/dispatch_queue.h
@@ -22,17 +22,20 @@
   std::string operation;
   /** 0 is the most urgent. */
   int priority = 0;
-  /** The caller's own retries count: one that came back waits no longer. */
   MonoTime deadline;
-  /** An answer after this is worth less; not before now. */
+  /** An answer after this is worth less; may have passed already. */
   MonoTime wanted_by;
   MonoTime queued_at;
   MonoTime started_at;
   std::uint64_t sequence = 0;
+  /** Its answer will come too late for its full worth; set by the queue. */
+  bool is_late = false;
 
   friend bool operator<(const DispatchCall& a, const DispatchCall& b) {
-    return a.priority != b.priority ? a.priority < b.priority
-                                    : a.sequence < b.sequence;
+    if (a.priority != b.priority) {
+      return a.priority < b.priority;
+    }
+    return a.is_late != b.is_late ? b.is_late : a.sequence < b.sequence;
   }
 };
 
@@ -42,12 +45,15 @@
 /** The slots of the target beside this daemon and the calls that wait for one.
 
     At most as many calls as the target has slots are in flight, so its own
-    queue stays empty. The most urgent call starts first, and among equals the
-    one that waits longest. A call that cannot end by its deadline, or not while
-    its answer still has its full worth although the queue moves, is refused at
-    once with the time after which the queue will have drained far enough.
+    queue stays empty. The most urgent call starts first; among equals those
+   that can still be answered in time go before those that cannot, and then the
+   one that waits longest. Late calls get what capacity is left, and few of them
+    wait, so that each soon knows. A call that cannot end by its deadline is
+    refused at once with the time after which the queue will have drained far
+    enough.
 
-    Pattern answered: sustained load above the target's capacity.
+    Pattern answered: sustained load above the target's capacity, where a queue
+    in order of arrival would answer every call, and each one too late.
 
     Not thread-safe; takes the time as an argument.
 */
@@ -91,18 +97,22 @@
   void RefuseAll(RefusalReason reason, const std::string& detail);
 
   /** @returns the load, with `leaving` false */
-  TargetLoad Load() const;
+  TargetLoad Load(MonoTime now) const;
 
   /** @returns how long a call of the operation is expected to hold a slot */
   Duration ExpectedTime(const std::string& operation, MonoTime now) const;
 
-  /** @returns how long a new call of the priority is expected to wait */
-  Duration ExpectedWait(int priority, MonoTime now) const;
+  /** @returns how long a call is expected to wait behind those that go before
+      it */
+  Duration ExpectedWait(const DispatchCall& call, MonoTime now) const;
 
   int in_flight() const { return in_flight_; }
   int queued() const { return static_cast<int>(waiting_.size()); }
 
  private:
+  DispatchDecision Refuse(const DispatchCall& call, RefusalReason reason,
+                          MonoTime end, MonoTime now, Refusal* refusal) const;
+  int WaitingLate() const;
   void Start(DispatchCall& call, MonoTime now);
   void StartWaiting(MonoTime now);
   Duration MeanTime(MonoTime now) const;
--- a/modules/cumin_core/target_load.h
+++ b/modules/cumin_core/target_load.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "cumin_core/time.h"
+
 namespace cumin {
 
 /** A target's work at one moment, as the daemon beside it counts it; travels
@@ -14,10 +16,13 @@
   int usable_slots = 0;
   /** The target takes no new work soon, or already. */
   bool leaving = false;
+  /** How long a call holds a slot on average; zero when unknown. */
+  Duration mean_time{0};
 
   friend bool operator==(const TargetLoad& a, const TargetLoad& b) {
     return a.in_flight == b.in_flight && a.queued == b.queued &&
-           a.usable_slots == b.usable_slots && a.leaving == b.leaving;
+           a.usable_slots == b.usable_slots && a.leaving == b.leaving &&
+           a.mean_time == b.mean_time;
   }
 };
 
--- a/modules/cumin_daemon/hop_codec.cc
+++ b/modules/cumin_daemon/hop_codec.cc
@@ -65,7 +65,8 @@
        << outcome.refusal.retry_after.count() << ' '
        << (outcome.has_load ? 1 : 0) << ' ' << outcome.load.in_flight << ' '
        << outcome.load.queued << ' ' << outcome.load.usable_slots << ' '
-       << (outcome.load.leaving ? 1 : 0);
+       << (outcome.load.leaving ? 1 : 0) << ' '
+       << outcome.load.mean_time.count();
   if (outcome.verdict != Verdict::kRan) {
     response = HttpResponse{};
     response.status = kOutcomeStatus;
@@ -84,9 +85,10 @@
   int has_load = 0;
   int leaving = 0;
   Duration::rep retry_us = 0;
+  Duration::rep mean_us = 0;
   text >> verdict >> reason >> reached >> retry_us >> has_load >>
       outcome.load.in_flight >> outcome.load.queued >>
-      outcome.load.usable_slots >> leaving;
+      outcome.load.usable_slots >> leaving >> mean_us;
   if (!text || !ParseVerdict(verdict, &outcome.verdict)) {
     return BadField(kOutcomeField);
   }
@@ -97,6 +99,7 @@
   outcome.reached_target = reached != 0;
   outcome.has_load = has_load != 0;
   outcome.load.leaving = leaving != 0;
+  outcome.load.mean_time = Duration(mean_us);
   if (outcome.verdict == Verdict::kRan) {
     response.headers.Remove(kOutcomeField);
     response.headers.RemoveHopByHop();
--- a/modules/cumin_daemon/ingress.cc
+++ b/modules/cumin_daemon/ingress.cc
@@ -110,6 +110,9 @@
   story.Add(EventLine("ingress-accepted")
                 .With("route", route->name)
                 .With("service", call.value().service.str())
+                .With("priority", call.value().priority)
+                .With("wanted_in_ms",
+                      Duration(call.value().wanted_by - board_.clock.Now()))
                 .With("version", static_cast<std::int64_t>(routes->version()))
                 .With("left_ms",
                       Duration(call.value().deadline - board_.clock.Now())),
@@ -126,7 +129,7 @@
                                    std::string attempt) {
   MeshCall call;
   const MonoTime now = board_.clock.Now();
-  Duration limit = route.timeout;
+  Duration patience = route.timeout;
   const std::string deadline = request.headers.Get(board_.names.deadline_ms);
   if (!deadline.empty()) {
     char* end = nullptr;
@@ -135,7 +138,7 @@
       return Error{ErrorCode::kInvalid, "", 0, board_.names.deadline_ms,
                    "must be a whole number of milliseconds"};
     }
-    limit = std::min<Duration>(limit, std::chrono::milliseconds(millis));
+    patience = std::chrono::milliseconds(millis);
   }
   call.attempt = std::move(attempt);
   call.service = RouteTable::DrawService(route, board_.random.Unit());
@@ -143,13 +146,24 @@
   call.route = route.name;
   call.kind = route.kind;
   call.priority = route.priority;
-  call.deadline = now + limit;
-  call.wanted_by = call.deadline;
+  call.deadline = now + std::min(route.timeout, patience);
+  call.wanted_by =
+      now + route.target_latency - ElapsedBefore(route, patience);
   request.headers.RemoveHopByHop();
   call.request = std::move(request);
   return call;
 }
 
+Duration Ingress::ElapsedBefore(const Route& route, Duration patience) {
+  if (patience_version_ != board_.routes->version()) {
+    longest_patience_.clear();
+    patience_version_ = board_.routes->version();
+  }
+  Duration& longest = longest_patience_[route.name];
+  longest = std::max(longest, patience);
+  return longest - patience;
+}
+
 Task<HttpResponse> Ingress::Carry(const MeshCall& call, const Route& route,
                                   CallerWatch& caller, CallStory& story) {
   board_.retry_budgets[call.service].OnCall();
@@ -162,6 +176,7 @@
     ChooseRequest choice;
     choice.service = call.service;
     choice.tried = attempts.tried;
+    choice.stays_in_region = call.kind == RouteKind::kDownload;
     const std::optional<Member> target = board_.chooser.Choose(
         choice, board_.clock.Now(), board_.random, &refusal);
     if (!target) {
--- a/modules/cumin_daemon/ingress.h
+++ b/modules/cumin_daemon/ingress.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <map>
+#include <string>
+
 #include "cumin_daemon/mesh_board.h"
 #include "cumin_daemon/mesh_call.h"
 #include "cumin_daemon/peer_client.h"
@@ -35,9 +38,17 @@
   Result<MeshCall> MakeCall(HttpRequest request, const Route& route,
                             std::string attempt);
 
+  /** A caller that comes back has less time than it began with; the longest
+      time seen on a route tells how much less.
+      @returns how long ago its first attempt was, as far as known */
+  Duration ElapsedBefore(const Route& route, Duration patience);
+
   MeshBoard& board_;
   TargetPort& target_;
   PeerClient& peers_;
+  /** By route, in the version below. */
+  std::map<std::string, Duration> longest_patience_;
+  std::uint64_t patience_version_ = 0;
 };
 
 }  // namespace cumin
--- a/modules/cumin_daemon/target_port.cc
+++ b/modules/cumin_daemon/target_port.cc
@@ -123,9 +123,9 @@
 }
 
 TargetLoad TargetPort::Load() const {
-  TargetLoad load = queue_.Load();
-  load.leaving =
-      board_.leaving || !board_.announcements.IsReady(board_.clock.Now());
+  const MonoTime now = board_.clock.Now();
+  TargetLoad load = queue_.Load(now);
+  load.leaving = board_.leaving || !board_.announcements.IsReady(now);
   return load;
 }
 
--- a/modules/cumin_routing/target_chooser.cc
+++ b/modules/cumin_routing/target_chooser.cc
@@ -16,6 +16,11 @@
 constexpr Duration kUnavailableFor = std::chrono::seconds(1);
 /** At this many calls a slot a target counts as full. */
 constexpr double kFullPressure = 1.0;
+/** Of a call at a target that has not told its own. */
+constexpr Duration kUnknownMeanTime = std::chrono::milliseconds(100);
+/** Full targets that are compared for one call. Few, so that many daemons with
+    the same news do not all turn to the same target. */
+constexpr int kDelayDraws = 4;
 constexpr Duration kNoTargetRetryAfter = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -54,8 +59,10 @@
                                             MonoTime now, Random& random,
                                             Refusal* refusal) {
   bool has_any = false;
-  const std::vector<Target*> candidates = Candidates(request, now, &has_any);
-  Target* const chosen = Draw(candidates, now, random);
+  const Candidates candidates = FindCandidates(request, now, &has_any);
+  Target* const chosen = candidates.is_full
+                             ? DrawByDelay(candidates.targets, now, random)
+                             : Draw(candidates.targets, now, random);
   if (chosen == nullptr) {
     *refusal = Refusal{Verdict::kNotRun, RefusalReason::kNoTarget,
                        has_any ? "every target of the service was tried"
@@ -144,10 +151,10 @@
   return (faded + target.own_in_flight) / std::max(1, target.load.usable_slots);
 }
 
-std::vector<TargetChooser::Target*> TargetChooser::Candidates(
+TargetChooser::Candidates TargetChooser::FindCandidates(
     const ChooseRequest& request, MonoTime now, bool* has_any) {
   std::array<std::vector<Target*>, 3> with_room;
-  std::array<std::vector<Target*>, 3> healthy;
+  std::vector<Target*> healthy;
   std::vector<Target*> failing;
   const auto service = services_.find(request.service);
   if (service == services_.end()) {
@@ -169,20 +176,67 @@
       continue;
     }
     const auto distance = static_cast<std::size_t>(DistanceTo(target));
-    healthy.at(distance).push_back(&target);
+    healthy.push_back(&target);
     if (Pressure(target, now) < kFullPressure) {
       with_room.at(distance).push_back(&target);
     }
   }
-  for (const auto* groups : {&with_room, &healthy}) {
-    for (const std::vector<Target*>& it : *groups) {
-      if (!it.empty()) {
-        return it;
-      }
+  // When every target fails, the choice falls back on all of them.
+  std::vector<Target*>& rest = healthy.empty() ? failing : healthy;
+  if (request.stays_in_region) {
+    KeepNear(rest);
+  }
+  for (std::size_t i = 0; i < with_room.size(); ++i) {
+    const bool is_elsewhere =
+        i == static_cast<std::size_t>(Distance::kElsewhere);
+    const bool is_barred = request.stays_in_region && is_elsewhere &&
+                           !rest.empty() &&
+                           DistanceTo(*rest.front()) != Distance::kElsewhere;
+    if (!with_room.at(i).empty() && !is_barred) {
+      return {with_room.at(i), false};
     }
   }
-  // When every target fails, the choice falls back on all of them.
-  return failing;
+  return {rest, !healthy.empty()};
+}
+
+void TargetChooser::KeepNear(std::vector<Target*>& candidates) const {
+  const auto is_near = [this](const Target* it) {
+    return DistanceTo(*it) != Distance::kElsewhere;
+  };
+  if (std::any_of(candidates.begin(), candidates.end(), is_near)) {
+    candidates.erase(
+        std::remove_if(candidates.begin(), candidates.end(),
+                       [&](const Target* it) { return !is_near(it); }),
+        candidates.end());
+  }
+}
+
+Duration TargetChooser::ExpectedDelay(const Target& target,
+                                      MonoTime now) const {
+  static constexpr std::array<Duration, 3> kWay = {
+      std::chrono::milliseconds(0), std::chrono::milliseconds(5),
+      std::chrono::milliseconds(80)};
+  const Duration mean = target.has_load && target.load.mean_time.count() > 0
+                            ? target.load.mean_time
+                            : kUnknownMeanTime;
+  const auto calls = Pressure(target, now) + 1.0;
+  return kWay.at(static_cast<std::size_t>(DistanceTo(target))) +
+         Duration(static_cast<Duration::rep>(static_cast<double>(mean.count()) *
+                                             calls));
+}
+
+TargetChooser::Target* TargetChooser::DrawByDelay(
+    const std::vector<Target*>& candidates, MonoTime now,
+    Random& random) const {
+  Target* best = nullptr;
+  for (int i = 0; i < kDelayDraws; ++i) {
+    Target* const drawn = candidates.at(random.Below(candidates.size()));
+    if (best == nullptr ||
+        ExpectedDelay(*drawn, now) < ExpectedDelay(*best, now)) {
+      best = drawn;
+    }
+  }
+  return best;
 }
 
 TargetChooser::Target* TargetChooser::Draw(
--- a/modules/cumin_routing/target_chooser.h
+++ b/modules/cumin_routing/target_chooser.h
@@ -27,13 +27,17 @@
   ServiceId service;
   /** Targets that this call has already been sent to. */
   std::vector<VmId> tried;
+  /** The answer is large: links between regions are slow and dear, so another
+      region is chosen only when the own one has no target. */
+  bool stays_in_region = false;
 };
 
 /** Chooses the target of each call from what the fleet knows and the load that
     rode back on earlier answers.
 
     Among the nearest targets with room it draws two and takes the less loaded;
-    farther ones are used only when the nearer are at their limit. Leaving,
+    farther ones are used only when the nearer are at their limit. When all are,
+    the expected wait at each is weighed against the way there. Leaving,
     starting and zero-slot targets are never chosen. Load known from an answer
     fades with its age, and so does that a target took no work then; the calls
    that this daemon has in flight count exactly.
@@ -90,10 +94,21 @@
   static bool MayTakeWork(const Target& target, MonoTime now);
   Distance DistanceTo(const Target& target) const;
   static double Pressure(const Target& target, MonoTime now);
-  std::vector<Target*> Candidates(const ChooseRequest& request, MonoTime now,
-                                  bool* has_any);
+  /** Targets among which to draw. */
+  struct Candidates {
+    std::vector<Target*> targets;
+    /** They are of different distances and all full. */
+    bool is_full = false;
+  };
+
+  Candidates FindCandidates(const ChooseRequest& request, MonoTime now,
+                            bool* has_any);
   Target* Draw(const std::vector<Target*>& candidates, MonoTime now,
                Random& random) const;
+  Duration ExpectedDelay(const Target& target, MonoTime now) const;
+  Target* DrawByDelay(const std::vector<Target*>& candidates, MonoTime now,
+                      Random& random) const;
+  void KeepNear(std::vector<Target*>& candidates) const;
 
   Locality self_;
   std::unordered_map<VmId, Target> targets_;
--- a/tests/daemon/hop_codec_test.cc
+++ b/tests/daemon/hop_codec_test.cc
@@ -76,7 +76,8 @@
       outcome.has_load = *rc::gen::arbitrary<bool>();
       outcome.load =
           TargetLoad{*rc::gen::inRange(0, 9), *rc::gen::inRange(0, 9),
-                     *rc::gen::inRange(0, 9), *rc::gen::arbitrary<bool>()};
+                     *rc::gen::inRange(0, 9), *rc::gen::arbitrary<bool>(),
+                     Duration(*rc::gen::inRange(0, 999999))};
       outcome.response.status = 500;
       outcome.response.body = "failed";
       const CallOutcome read = DecodeOutcome(EncodeOutcome(outcome)).value();
