--- a/modules/cumin_core/stable_hash.cc
+++ b/modules/cumin_core/stable_hash.cc
@@ -1,6 +1,5 @@
 #include "cumin_core/stable_hash.h"
 
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace cumin {
--- a/modules/cumin_daemon/ingress.cc
+++ b/modules/cumin_daemon/ingress.cc
@@ -133,7 +133,7 @@
   const std::string deadline = request.headers.Get(board_.names.deadline_ms);
   if (!deadline.empty()) {
     char* end = nullptr;
-    const long millis = std::strtol(deadline.c_str(), &end, 10);
+    const std::int64_t millis = std::strtoll(deadline.c_str(), &end, 10);
     if (*end != '\0' || millis < 0) {
       return Error{ErrorCode::kInvalid, "", 0, board_.names.deadline_ms,
                    "must be a whole number of milliseconds"};
@@ -147,8 +147,7 @@
   call.kind = route.kind;
   call.priority = route.priority;
   call.deadline = now + std::min(route.timeout, patience);
-  call.wanted_by =
-      now + route.target_latency - ElapsedBefore(route, patience);
+  call.wanted_by = now + route.target_latency - ElapsedBefore(route, patience);
   request.headers.RemoveHopByHop();
   call.request = std::move(request);
   return call;
--- a/modules/cumin_http/http_connection_pool.cc
+++ b/modules/cumin_http/http_connection_pool.cc
@@ -51,8 +51,8 @@
   if (at == std::string::npos) {
     return std::chrono::hours(1);
   }
-  const long seconds =
-      std::strtol(field.c_str() + at + sizeof(kName) - 1, nullptr, 10);
+  const std::int64_t seconds =
+      std::strtoll(field.c_str() + at + sizeof(kName) - 1, nullptr, 10);
   const Duration length = std::chrono::seconds(seconds);
   return std::max<Duration>(Duration::zero(), length - kIdleMargin);
 }
@@ -77,8 +77,7 @@
   HttpResponse response;
   response.status = static_cast<int>(message.result_int());
   for (const auto& it : message) {
-    response.headers.Add(std::string(it.name_string()),
-                         std::string(it.value()));
+    response.headers.Add(it.name_string().to_string(), it.value().to_string());
   }
   response.body = std::move(message.body());
   return response;
--- a/modules/cumin_http/http_listener.cc
+++ b/modules/cumin_http/http_listener.cc
@@ -55,7 +55,7 @@
 HttpRequest TakeRequest(Parser& parser) {
   auto message = parser.release();
   HttpRequest request;
-  request.method = std::string(message.method_string());
+  request.method = message.method_string().to_string();
   const std::string target(message.target());
   const std::size_t mark = target.find('?');
   // A '?' without a query stays part of the path, so that nothing is lost.
@@ -66,7 +66,7 @@
     request.query = target.substr(mark + 1);
   }
   for (const auto& it : message) {
-    request.headers.Add(std::string(it.name_string()), std::string(it.value()));
+    request.headers.Add(it.name_string().to_string(), it.value().to_string());
   }
   request.body = std::move(message.body());
   return request;
--- /dev/null
+++ b/tests/platform/mesh_process_test.cc
@@ -0,0 +1,311 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <fstream>
+#include <memory>
+#include <thread>
+
+#include "cumin_http/http_connection_pool.h"
+#include "cumin_http/http_listener.h"
+#include "standins/platform_store/platform_store_standin.h"
+#include "support/child_process.h"
+#include "support/loop_thread.h"
+#include "support/temp_dir.h"
+
+namespace cumin::platform {
+
+namespace {
+
+constexpr char kAttempt[] = "X-Attempt-Id";
+constexpr Duration kCallTimeout = std::chrono::seconds(10);
+
+/** A port that was free a moment ago. */
+Endpoint FreeEndpoint() {
+  asio::io_context loop;
+  asio::ip::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+  return Endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+std::string MakeConfiguration(int version, const std::string& kind) {
+  return R"({"version":"r)" + std::to_string(version) +
+         R"(","resources":[{"type":"routes","metadata":{"name":"r"},"spec":)"
+         R"({"host":"shop.example","prefix":"/p)" +
+         std::to_string(version) + R"(/","kind":")" + kind +
+         R"(","timeout-s":5,"target-latency-s":1,"priority":1,"attempts":2,)"
+         R"("service":"svc"}},{"type":"services","metadata":{"name":"svc"},)"
+         R"("spec":{}},{"type":"limits","metadata":{},"spec":)"
+         R"({"max-header-bytes":16384,"max-body-bytes":100000,)"
+         R"("header-timeout-s":3,"idle-timeout-s":15}}]})";
+}
+
+/** Plays a target: answers with the digest and says what it was asked. */
+class TargetHandler final : public HttpRequestHandler {
+ public:
+  Task<HttpResponse> Handle(HttpRequest request,
+                            CallerWatch& /*caller*/) override {
+    runs += 1;
+    last = request;
+    if (work > Duration::zero()) {
+      co_await SleepFor(work);
+    }
+    HttpResponse response;
+    response.headers.Set(kAttempt, request.headers.Get(kAttempt));
+    response.headers.Set("X-Response-Signature", "s");
+    response.body = request.path + "|" + request.body;
+    co_return response;
+  }
+
+  int runs = 0;
+  Duration work{0};
+  HttpRequest last;
+};
+
+/** One VM: a target played here and the daemon's process. */
+struct Vm {
+  std::string name;
+  Endpoint callers = FreeEndpoint();
+  Endpoint peers = FreeEndpoint();
+  Endpoint readiness = FreeEndpoint();
+  Endpoint announcements = FreeEndpoint();
+  Endpoint target;
+  TargetHandler handler;
+  std::unique_ptr<HttpListener> listener;
+  std::unique_ptr<test::ChildProcess> daemon;
+};
+
+class MeshProcessTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MeshProcessTest);
+  CPPUNIT_TEST(TestCallReachesTheTargetBesideAnotherDaemon);
+  CPPUNIT_TEST(TestNewVersionReachesEveryDaemonAndAnInvalidOneNone);
+  CPPUNIT_TEST(TestLeavingTargetGetsNoWorkOnceAcknowledged);
+  CPPUNIT_TEST(TestEndedDaemonAnswersWhatItHasRead);
+  CPPUNIT_TEST(TestLapsedEntryComesBack);
+  CPPUNIT_TEST(TestBadSettingsAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    loop_ = std::make_unique<test::LoopThread>();
+    store_ = std::make_unique<test::PlatformStoreStandin>(loop_->executor());
+    store_listener_ =
+        std::make_unique<HttpListener>(loop_->executor(), *store_);
+    store_endpoint_ = store_listener_->Start(Endpoint{"127.0.0.1", 0}).value();
+    pool_ = std::make_unique<HttpConnectionPool>(loop_->executor());
+    SetConfiguration(MakeConfiguration(1, "idempotent"));
+  }
+
+  void tearDown() override {
+    vms_.clear();
+    loop_->Stop();
+    pool_.reset();
+    store_listener_.reset();
+    loop_.reset();
+  }
+
+  void TestCallReachesTheTargetBesideAnotherDaemon() {
+    StartVm("svc");
+    StartVm("caller");
+    Announce(*vms_[0], "ready", 1);
+    const HttpResponse answer = AwaitAnswer(*vms_[1], "/p1/x?q=1", 200);
+    CPPUNIT_ASSERT_EQUAL(std::string("/p1/x|body"), answer.body);
+    const HttpHeaders& seen = vms_[0]->handler.last.headers;
+    CPPUNIT_ASSERT_EQUAL(std::string("q=1"), vms_[0]->handler.last.query);
+    CPPUNIT_ASSERT_EQUAL(std::string("caller"), seen.Get("X-Caller-Service"));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-vm0"), seen.Get("X-Target-Instance"));
+    const int left = std::stoi(seen.Get("X-Deadline-Ms"));
+    CPPUNIT_ASSERT(left > 0 && left <= 5000);
+    CPPUNIT_ASSERT(!seen.Has("Cumin-Hop"));
+    CPPUNIT_ASSERT_EQUAL(404, Call(*vms_[1], "/none/").status);
+  }
+
+  void TestNewVersionReachesEveryDaemonAndAnInvalidOneNone() {
+    StartVm("svc");
+    StartVm("svc");
+    Announce(*vms_[0], "ready", 1);
+    AwaitAnswer(*vms_[0], "/p1/", 200);
+    AwaitAnswer(*vms_[1], "/p1/", 200);
+    SetConfiguration(MakeConfiguration(7, "idempotent"));
+    AwaitAnswer(*vms_[0], "/p7/", 200);
+    AwaitAnswer(*vms_[1], "/p7/", 200);
+    SetConfiguration(MakeConfiguration(9, "sometimes"));
+    SetConfiguration(MakeConfiguration(3, "idempotent"));
+    SetConfiguration(MakeConfiguration(11, "idempotent"));
+    for (const auto& it : vms_) {
+      AwaitAnswer(*it, "/p11/", 200);
+      CPPUNIT_ASSERT_EQUAL(404, Call(*it, "/p3/").status);
+      CPPUNIT_ASSERT_EQUAL(404, Call(*it, "/p9/").status);
+    }
+  }
+
+  void TestLeavingTargetGetsNoWorkOnceAcknowledged() {
+    StartVm("svc");
+    StartVm("svc");
+    Announce(*vms_[0], "ready", 1);
+    Announce(*vms_[1], "ready", 1);
+    AwaitAnswer(*vms_[0], "/p1/", 200);
+    AwaitAnswer(*vms_[1], "/p1/", 200);
+    CPPUNIT_ASSERT_EQUAL(200, Announce(*vms_[0], "draining", 2));
+    const int before = vms_[0]->handler.runs;
+    for (int i = 0; i < 20; ++i) {
+      // The other target takes all of it, also while news of the leave spreads.
+      AwaitAnswer(*vms_[0], "/p1/", 200);
+      AwaitAnswer(*vms_[1], "/p1/", 200);
+    }
+    CPPUNIT_ASSERT_EQUAL(before, vms_[0]->handler.runs);
+  }
+
+  void TestEndedDaemonAnswersWhatItHasRead() {
+    StartVm("svc");
+    StartVm("caller");
+    Announce(*vms_[0], "ready", 1);
+    AwaitAnswer(*vms_[1], "/p1/", 200);
+    loop_->Post([this] {
+      vms_[0]->handler.work = std::chrono::milliseconds(800);
+      vms_[0]->handler.runs = 0;
+    });
+    std::thread end([this] {
+      while (vms_[0]->handler.runs == 0) {
+        std::this_thread::yield();
+      }
+      vms_[1]->daemon->Terminate();
+    });
+    CPPUNIT_ASSERT_EQUAL(200, Call(*vms_[1], "/p1/").status);
+    end.join();
+    CPPUNIT_ASSERT_EQUAL(0, vms_[1]->daemon->WaitForEnd().value_or(-1));
+  }
+
+  void TestLapsedEntryComesBack() {
+    StartVm("svc");
+    const std::string key = "cumin/contacts/vm0";
+    AwaitKey(key);
+    loop_->Post([this] { store_->EndLeases(); });
+    AwaitKey(key);
+  }
+
+  void TestBadSettingsAreRefused() {
+    const std::string path = dir_.File("bad.yaml");
+    std::ofstream(path) << "vm: a\nregion: r\nfailure_domain: z\n"
+                           "callers: nowhere\n";
+    const auto process =
+        test::ChildProcess::Start(
+            {test::ProgramPath("platform/cumind_platform"), path},
+            dir_.File("bad.out"))
+            .value();
+    CPPUNIT_ASSERT_EQUAL(2, process->WaitForEnd().value_or(-1));
+    CPPUNIT_ASSERT(process->ErrorOutput().find("callers") != std::string::npos);
+  }
+
+ private:
+  void SetConfiguration(const std::string& text) {
+    loop_->Post([&] { store_->Put("op/config", text); });
+  }
+
+  void StartVm(const std::string& service) {
+    auto vm = std::make_unique<Vm>();
+    vm->name = "vm" + std::to_string(vms_.size());
+    vm->listener =
+        std::make_unique<HttpListener>(loop_->executor(), vm->handler);
+    loop_->Post([&] {
+      vm->target = vm->listener->Start(Endpoint{"127.0.0.1", 0}).value();
+    });
+    const std::string path = dir_.File(vm->name + ".yaml");
+    std::ofstream(path) << "vm: " << vm->name
+                        << "\nregion: r\nfailure_domain: z\ncallers: "
+                        << vm->callers << "\npeers: " << vm->peers
+                        << "\nreadiness: " << vm->readiness
+                        << "\nannouncements: " << vm->announcements
+                        << "\ntarget: " << vm->target
+                        << "\nservice: " << service
+                        << "\nstore: " << store_endpoint_
+                        << "\nannounce_interval_s: 1000\n";
+    vm->daemon = test::ChildProcess::Start(
+                     {test::ProgramPath("platform/cumind_platform"), path},
+                     dir_.File(vm->name + ".out"))
+                     .value();
+    vms_.push_back(std::move(vm));
+    AwaitReady(*vms_.back());
+  }
+
+  HttpResponse Send(const Endpoint& to, HttpRequest request) {
+    ExchangeOptions options;
+    options.timeout = kCallTimeout;
+    options.max_idle = Duration::zero();
+    ExchangeResult result = loop_->Run(pool_->Exchange(to, request, options));
+    if (result.end != ExchangeEnd::kAnswered) {
+      result.response.status = 0;
+    }
+    return result.response;
+  }
+
+  HttpResponse Call(const Vm& vm, const std::string& target) {
+    HttpRequest request;
+    request.method = "POST";
+    request.path = target.substr(0, target.find('?'));
+    request.query =
+        target.substr(std::min(target.size(), request.path.size() + 1));
+    request.headers.Set("Host", "shop.example");
+    request.headers.Set(kAttempt, "attempt-" + std::to_string(next_attempt_++));
+    request.headers.Set("X-Deadline-Ms", "5000");
+    request.headers.Set("X-Caller-Service", "forged");
+    request.body = "body";
+    return Send(vm.callers, request);
+  }
+
+  int Announce(const Vm& vm, const std::string& state, int sequence) {
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = "/instances/i-" + vm.name;
+    request.body = R"({"addr":")" + ToString(vm.target) +
+                   R"(","born":1000,"info":{"service":"svc","version":"v1",)"
+                   R"("zone":"z","concurrency":4},"status":{"state":")" +
+                   state + R"(","seq":)" + std::to_string(sequence) +
+                   R"(,"cold-left-s":0}})";
+    return Send(vm.announcements, request).status;
+  }
+
+  /** Calls until the status comes; before news has spread, others may. */
+  HttpResponse AwaitAnswer(const Vm& vm, const std::string& target,
+                           int status) {
+    HttpResponse answer = Call(vm, target);
+    while (answer.status != status) {
+      Pause();
+      answer = Call(vm, target);
+    }
+    return answer;
+  }
+
+  void AwaitReady(const Vm& vm) {
+    HttpRequest request;
+    request.path = "/readyz";
+    while (Send(vm.readiness, request).status != 200) {
+      Pause();
+    }
+  }
+
+  void AwaitKey(const std::string& key) {
+    bool has_key = false;
+    while (!has_key) {
+      Pause();
+      loop_->Post([&] { has_key = store_->Has(key); });
+    }
+  }
+
+  static void Pause() {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+
+  test::TempDir dir_;
+  std::unique_ptr<test::LoopThread> loop_;
+  std::unique_ptr<test::PlatformStoreStandin> store_;
+  std::unique_ptr<HttpListener> store_listener_;
+  Endpoint store_endpoint_;
+  std::unique_ptr<HttpConnectionPool> pool_;
+  std::vector<std::unique_ptr<Vm>> vms_;
+  int next_attempt_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MeshProcessTest);
+
+}  // namespace
+
+}  // namespace cumin::platform
--- a/tests/support/loop_thread.h
+++ b/tests/support/loop_thread.h
@@ -2,7 +2,6 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_future.hpp>
 #include <future>
 #include <thread>
 #include <utility>
@@ -27,7 +26,9 @@
       @returns what it returns */
   template <typename T>
   T Run(Task<T> task) {
-    return asio::co_spawn(loop_, std::move(task), asio::use_future).get();
+    std::promise<T> result;
+    asio::co_spawn(loop_, Fulfil(std::move(task), result), asio::detached);
+    return result.get_future().get();
   }
 
   /** Runs a function on the loop and waits for its end. */
@@ -50,6 +51,12 @@
   }
 
  private:
+  /** Carries the result over; it need not have a default value. */
+  template <typename T>
+  static Task<void> Fulfil(Task<T> task, std::promise<T>& result) {
+    result.set_value(co_await std::move(task));
+  }
+
   asio::io_context loop_{1};
   asio::executor_work_guard<asio::io_context::executor_type> work_;
   std::thread thread_;
