--- a/modules/cumin_daemon/contact_keeper.cc
+++ b/modules/cumin_daemon/contact_keeper.cc
@@ -47,7 +47,7 @@
 
 Task<void> ContactKeeper::KeepForever() {
   RetryBackoff backoff(kBackoff);
-  while (!board_.leaving) {
+  while (!board_.ends_soon) {
     if (lease_ == kNoLease) {
       const bool written = co_await WriteEntry();
       const Duration pause =
@@ -92,7 +92,7 @@
 
 Task<void> ContactKeeper::JoinForever() {
   RetryBackoff backoff(kBackoff);
-  while (!board_.leaving) {
+  while (!board_.ends_soon) {
     // The entry comes first: of two daemons that start at once, the one that
     // writes later finds the other.
     const bool is_alone = fleet_.live_count() < 2;
--- a/modules/cumin_daemon/fleet_agent.cc
+++ b/modules/cumin_daemon/fleet_agent.cc
@@ -22,6 +22,12 @@
 constexpr std::size_t kMaxMembers = 4096;
 constexpr int kKinds = 5;
 constexpr int kLeaveGreetings = 6;
+/** A member that has gone is greeted for this long: its process is back within
+    seconds unless its VM is gone for good. */
+constexpr Duration kGreetGoneFor = std::chrono::seconds(30);
+constexpr Duration kGreetGoneInterval = std::chrono::milliseconds(400);
+/** Daemons that greet a gone member in each interval, on average. */
+constexpr double kGreetersOfGone = 3;
 /** Numbers of probes made for others start here, beyond the detector's own. */
 constexpr ProbeId kFirstErrand = ProbeId{1} << 40U;
 
@@ -184,6 +190,11 @@
                                  MergeSource /*source*/) {
   view_is_stale_ = true;
   plan_.reset();
+  if (IsLive(after)) {
+    gone_.erase(after.vm);
+  } else {
+    gone_[after.vm] = board_.clock.Now() + kGreetGoneFor;
+  }
   if (before == nullptr || before->state != after.state) {
     board_.log.Write(
         EventLine("member")
@@ -209,7 +220,8 @@
       co_return;
     }
     if (!ec) {
-      OnDatagram(buf.substr(0, n));
+      OnDatagram(buf.substr(0, n),
+                 Endpoint{from.address().to_string(), from.port()});
     }
   }
 }
@@ -231,6 +243,7 @@
   if (pacer_.Take(now, queue_.HasFresh())) {
     Greet(1);
   }
+  GreetGone(now);
   for (auto it = errands_.begin(); it != errands_.end();) {
     it = it->second.until < now ? errands_.erase(it) : std::next(it);
   }
@@ -269,7 +282,7 @@
   socket_.send_to(asio::buffer(ToText(value)), ToUdp(to), 0, ignored);
 }
 
-void FleetAgent::OnDatagram(const std::string& text) {
+void FleetAgent::OnDatagram(const std::string& text, const Endpoint& sender) {
   Json::Value value;
   if (!Parse(text, &value)) {
     return;
@@ -312,20 +325,45 @@
     case Kind::kGreeting:
       break;
   }
-  const Member* const peer = table_.Find(from);
-  if (absorbed.compare_tables && peer != nullptr && !is_comparing_) {
-    is_comparing_ = true;
-    asio::co_spawn(
-        board_.executor,
-        [](FleetAgent* self, Endpoint contact) -> Task<void> {
-          co_await self->JoinThrough(contact);
-          self->is_comparing_ = false;
-        }(this, peer->endpoint),
-        asio::detached);
+  if (absorbed.compare_tables || table_.Find(from) == nullptr) {
+    CompareWith(sender);
   }
   Publish();
 }
 
+void FleetAgent::CompareWith(const Endpoint& peer) {
+  if (is_comparing_) {
+    return;
+  }
+  is_comparing_ = true;
+  asio::co_spawn(
+      board_.executor,
+      [](FleetAgent* self, Endpoint contact) -> Task<void> {
+        co_await self->JoinThrough(contact);
+        self->is_comparing_ = false;
+      }(this, peer),
+      asio::detached);
+}
+
+void FleetAgent::GreetGone(MonoTime now) {
+  if (now < next_greeting_) {
+    return;
+  }
+  next_greeting_ = now + kGreetGoneInterval;
+  const double share =
+      kGreetersOfGone / static_cast<double>(table_.live_count());
+  for (auto it = gone_.begin(); it != gone_.end();) {
+    if (it->second < now) {
+      it = gone_.erase(it);
+      continue;
+    }
+    if (board_.random.Unit() < share) {
+      Send(it->first, Kind::kGreeting, 0, VmId());
+    }
+    ++it;
+  }
+}
+
 void FleetAgent::Greet(int count) {
   std::vector<Member> members = table_.Live();
   for (int i = 0; i < count && !members.empty(); ++i) {
--- a/modules/cumin_daemon/fleet_agent.h
+++ b/modules/cumin_daemon/fleet_agent.h
@@ -17,7 +17,9 @@
 namespace cumin {
 
 /** Membership between the daemons: probes and gossip by datagrams, whole tables
-    by requests. Feeds the chooser with the members that have a target.
+    by requests. A daemon that comes back hears of the others from them, also
+    while the store is away. Feeds the chooser with the members that have a
+   target.
 */
 class FleetAgent final : private MemberTable::Listener {
  public:
@@ -81,8 +83,12 @@
   void Send(const VmId& to, Kind kind, ProbeId probe, const VmId& about);
   void SendTo(const Endpoint& to, const VmId& vm, Kind kind, ProbeId probe,
               const VmId& about);
-  void OnDatagram(const std::string& text);
+  void OnDatagram(const std::string& text, const Endpoint& sender);
+  void CompareWith(const Endpoint& peer);
   void Greet(int count);
+  /** Greets members that were gone lately: a daemon that came back while the
+      store is away learns of the others so. */
+  void GreetGone(MonoTime now);
   void Publish();
   static Member MakeSelf(const MeshBoard& board);
 
@@ -98,6 +104,9 @@
   std::map<ProbeId, Errand> errands_;
   ProbeId next_errand_;
   std::optional<SpreadPlan> plan_;
+  /** Members that left or died, and until when they are greeted. */
+  std::map<VmId, MonoTime> gone_;
+  MonoTime next_greeting_;
   bool view_is_stale_ = true;
   bool is_comparing_ = false;
 };
--- a/modules/cumin_daemon/mesh_board.h
+++ b/modules/cumin_daemon/mesh_board.h
@@ -41,7 +41,9 @@
   std::map<ServiceId, RetryBudget> retry_budgets;
   /** Counters by name, for the metrics page. */
   std::map<std::string, std::uint64_t> counters;
-  /** This daemon ends soon. */
+  /** This daemon was told to end; callers are told to go elsewhere. */
+  bool ends_soon = false;
+  /** This daemon takes no new work any more. */
   bool leaving = false;
   /** This daemon holds the newest version that it could learn of. */
   bool ready = false;
--- a/modules/cumin_daemon/mesh_daemon.cc
+++ b/modules/cumin_daemon/mesh_daemon.cc
@@ -1,5 +1,7 @@
 #include "cumin_daemon/mesh_daemon.h"
 
+#include <algorithm>
+
 #include "cumin_daemon/contact_keeper.h"
 #include "cumin_daemon/ingress.h"
 #include "cumin_daemon/peer_handler.h"
@@ -11,9 +13,10 @@
 constexpr Duration kTick = std::chrono::milliseconds(50);
 constexpr Duration kLogFlush = std::chrono::milliseconds(100);
 constexpr Duration kIdleSweep = std::chrono::seconds(1);
-/** Callers are still taken for this part of the grace time: they are told not
-    to come by two readiness answers, a second apart. */
-constexpr int kAcceptParts = 2;
+/** Callers are told not to come by two readiness answers, a second apart; until
+    they know, and for at most half of the grace time, all work is still taken.
+ */
+constexpr Duration kNoticeTime = std::chrono::milliseconds(2300);
 /** The process ends this long before it would be killed. */
 constexpr Duration kKillMargin = std::chrono::milliseconds(400);
 constexpr Duration kPeerIdleTimeout = std::chrono::seconds(60);
@@ -25,7 +28,7 @@
   Task<HttpResponse> Handle(HttpRequest /*request*/,
                             CallerWatch& /*caller*/) override {
     HttpResponse response;
-    response.status = board_.ready && !board_.leaving ? 200 : 503;
+    response.status = board_.ready && !board_.ends_soon ? 200 : 503;
     co_return response;
   }
 
@@ -89,7 +92,7 @@
   }
 
   void BeginLeave() {
-    if (!board_.leaving) {
+    if (!board_.ends_soon) {
       asio::co_spawn(board_.executor, Leave(), asio::detached);
     }
   }
@@ -104,14 +107,16 @@
     const MonoTime began = board_.clock.Now();
     const Duration grace = board_.settings.grace;
     board_.log.Write(EventLine("leaving").With("grace_ms", grace));
-    board_.leaving = true;
-    OnAnnouncement();
-    fleet_.Leave();
+    board_.ends_soon = true;
     caller_listener_.CloseAfterAnswers();
     asio::co_spawn(board_.executor, contacts_.Withdraw(), asio::detached);
-    while (board_.clock.Now() < began + grace / kAcceptParts) {
+    const Duration notice = std::min(kNoticeTime, grace / 2);
+    while (board_.clock.Now() < began + notice) {
       co_await SleepFor(kTick);
     }
+    board_.leaving = true;
+    OnAnnouncement();
+    fleet_.Leave();
     caller_listener_.StopAccepting();
     while (board_.clock.Now() < began + grace - kKillMargin && IsBusy()) {
       co_await SleepFor(kTick);
--- a/modules/cumin_daemon/mesh_daemon.h
+++ b/modules/cumin_daemon/mesh_daemon.h
@@ -14,9 +14,9 @@
 
 /** The daemon beside one target VM: its listeners, agents and their end.
 
-    At SIGTERM readiness ends first. Calls are then still taken for a while,
-    since callers notice late, and each answer closes its connection; the target
-    gets no new work, and what runs is answered before the process ends.
+    At SIGTERM readiness ends first. Until callers have noticed, calls are taken
+    as before, for the target too, and each answer closes its connection. Then
+    new work is refused, and what runs is answered before the process ends.
 */
 class MeshDaemon {
  public:
