--- a/modules/cumin_daemon/event_log.cc
+++ b/modules/cumin_daemon/event_log.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxBufferedBytes = 64 * 1024;
+constexpr std::size_t kMaxBufferedBytes = std::size_t{64} * 1024;
 /** One success in this many is written. */
 constexpr std::size_t kSampleEvery = 64;
 
@@ -87,7 +87,7 @@
   if (lines_.empty()) {
     began_at_ = now;
   }
-  line.With("id", id_).With("after_ms", Duration(now - began_at_));
+  line.With("id", id_).With("after_ms", now - began_at_);
   lines_.push_back(std::move(line));
 }
 
--- a/modules/cumin_daemon/ingress.cc
+++ b/modules/cumin_daemon/ingress.cc
@@ -107,16 +107,15 @@
   if (!call) {
     co_return Refuse(kBadRequest, Describe(call.error()));
   }
-  story.Add(EventLine("ingress-accepted")
-                .With("route", route->name)
-                .With("service", call.value().service.str())
-                .With("priority", call.value().priority)
-                .With("wanted_in_ms",
-                      Duration(call.value().wanted_by - board_.clock.Now()))
-                .With("version", static_cast<std::int64_t>(routes->version()))
-                .With("left_ms",
-                      Duration(call.value().deadline - board_.clock.Now())),
-            board_.clock.Now());
+  story.Add(
+      EventLine("ingress-accepted")
+          .With("route", route->name)
+          .With("service", call.value().service.str())
+          .With("priority", call.value().priority)
+          .With("wanted_in_ms", call.value().wanted_by - board_.clock.Now())
+          .With("version", static_cast<std::int64_t>(routes->version()))
+          .With("left_ms", call.value().deadline - board_.clock.Now()),
+      board_.clock.Now());
   response = co_await Carry(call.value(), *route, caller, story);
   story.Add(EventLine("ingress-answered").With("status", response.status),
             board_.clock.Now());
@@ -200,7 +199,8 @@
       break;
     }
   }
-  co_return Answer(call, std::move(outcome));
+  HttpResponse answer = Answer(call, outcome);
+  co_return answer;
 }
 
 Task<CallOutcome> Ingress::RunAt(const Member& target, const MeshCall& call,
@@ -259,7 +259,7 @@
   return board_.retry_budgets[call.service].TryTake(outcome.verdict);
 }
 
-HttpResponse Ingress::Answer(const MeshCall& call, CallOutcome outcome) const {
+HttpResponse Ingress::Answer(const MeshCall& call, CallOutcome& outcome) const {
   if (outcome.verdict == Verdict::kRan) {
     if (!IsPromise(outcome.response.status)) {
       return std::move(outcome.response);
--- a/modules/cumin_daemon/ingress.h
+++ b/modules/cumin_daemon/ingress.h
@@ -34,7 +34,8 @@
                           CallerWatch& caller, CallStory& story);
   bool MayTryAgain(const MeshCall& call, const Route& route,
                    const CallOutcome& outcome, const Attempts& attempts);
-  HttpResponse Answer(const MeshCall& call, CallOutcome outcome) const;
+  /** @param outcome  its answer is taken out */
+  HttpResponse Answer(const MeshCall& call, CallOutcome& outcome) const;
   Result<MeshCall> MakeCall(HttpRequest request, const Route& route,
                             std::string attempt);
 
--- a/modules/cumin_daemon/mesh_daemon.cc
+++ b/modules/cumin_daemon/mesh_daemon.cc
@@ -1,5 +1,7 @@
 #include "cumin_daemon/mesh_daemon.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 
 #include "cumin_daemon/contact_keeper.h"
@@ -123,7 +125,7 @@
     }
     board_.log.Write(
         EventLine("stopped")
-            .With("after_ms", Duration(board_.clock.Now() - began))
+            .With("after_ms", board_.clock.Now() - began)
             .With("open_calls", caller_listener_.busy_connections()));
     board_.log.Flush();
     loop_.stop();
@@ -161,6 +163,8 @@
     limits.header_timeout = from.header_timeout;
     limits.idle_timeout = from.idle_timeout;
     caller_listener_.SetLimits(limits);
+    // Reading a version takes several times the memory that it is held in.
+    malloc_trim(0);
   }
 
   asio::io_context& loop_;
--- a/modules/cumin_daemon/peer_client.cc
+++ b/modules/cumin_daemon/peer_client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "cumin_daemon/hop_codec.h"
+#include "cumin_http/abort_on_hang_up.h"
 
 namespace cumin {
 
@@ -16,26 +17,6 @@
 constexpr Duration kForbidTimeout = std::chrono::milliseconds(300);
 constexpr Duration kMaxIdle = std::chrono::seconds(10);
 
-/** Closes the connection to the peer when the caller leaves, so that the peer
-    hears of it. */
-class AbortOnHangUp final : private CallerWatch::Listener {
- public:
-  explicit AbortOnHangUp(CallerWatch& caller) : caller_(caller) {
-    caller_.SetListener(this);
-  }
-  ~AbortOnHangUp() { caller_.SetListener(nullptr); }
-  AbortOnHangUp(const AbortOnHangUp&) = delete;
-  AbortOnHangUp& operator=(const AbortOnHangUp&) = delete;
-
-  ExchangeAbort& abort() { return abort_; }
-
- private:
-  void OnCallerGone() override { abort_.Abort(); }
-
-  CallerWatch& caller_;
-  ExchangeAbort abort_;
-};
-
 }  // namespace
 
 Task<CallOutcome> PeerClient::Run(Endpoint peer, const MeshCall& call,
@@ -49,7 +30,7 @@
   options.max_idle = kMaxIdle;
   ExchangeResult result;
   {
-    AbortOnHangUp guard(caller);
+    AbortOnHangUp guard(caller, true);
     result = co_await board_.connections.Exchange(peer, request, options,
                                                   &guard.abort());
   }
--- a/modules/cumin_daemon/target_port.cc
+++ b/modules/cumin_daemon/target_port.cc
@@ -4,6 +4,8 @@
 #include <optional>
 #include <utility>
 
+#include "cumin_http/abort_on_hang_up.h"
+
 namespace cumin {
 
 namespace {
@@ -19,31 +21,6 @@
 /** The answer may need this much longer than the target's own limit. */
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(30);
 
-/** Aborts an exchange when the caller leaves. */
-class AbortOnHangUp final : private CallerWatch::Listener {
- public:
-  AbortOnHangUp(CallerWatch& caller, bool may_abort)
-      : caller_(caller), may_abort_(may_abort) {
-    caller_.SetListener(this);
-  }
-  ~AbortOnHangUp() { caller_.SetListener(nullptr); }
-  AbortOnHangUp(const AbortOnHangUp&) = delete;
-  AbortOnHangUp& operator=(const AbortOnHangUp&) = delete;
-
-  ExchangeAbort& abort() { return abort_; }
-
- private:
-  void OnCallerGone() override {
-    if (may_abort_) {
-      abort_.Abort();
-    }
-  }
-
-  CallerWatch& caller_;
-  const bool may_abort_;
-  ExchangeAbort abort_;
-};
-
 }  // namespace
 
 /** A call in the queue and the coroutine that waits for it. */
@@ -98,7 +75,9 @@
   }
   story.Add(line, board_.clock.Now());
   story.Close(failed);
-  co_return WithLoad(std::move(outcome));
+  outcome.load = Load();
+  outcome.has_load = true;
+  co_return outcome;
 }
 
 AttemptState TargetPort::Forbid(const std::string& attempt) {
@@ -242,12 +221,12 @@
                 .With("instance", board_.announcements.last()->instance)
                 .With("end", ToString(result.end))
                 .With("reason", result.reason)
-                .With("left_ms", Duration(call.deadline - now)),
+                .With("left_ms", call.deadline - now),
             board_.clock.Now());
-  co_return Judge(call, std::move(result));
+  co_return Judge(std::move(result));
 }
 
-CallOutcome TargetPort::Judge(const MeshCall& call, ExchangeResult result) {
+CallOutcome TargetPort::Judge(ExchangeResult result) const {
   if (result.end == ExchangeEnd::kNotSent) {
     return FailedOutcome(Verdict::kNotRun, RefusalReason::kTargetFailed,
                          result.reason);
@@ -283,7 +262,6 @@
     outcome.reached_target = true;
     return outcome;
   }
-  (void)call;
   response.headers.RemoveHopByHop();
   outcome.verdict = Verdict::kRan;
   outcome.response = std::move(response);
@@ -302,10 +280,4 @@
   return request;
 }
 
-CallOutcome TargetPort::WithLoad(CallOutcome outcome) const {
-  outcome.load = Load();
-  outcome.has_load = true;
-  return outcome;
-}
-
 }  // namespace cumin
--- a/modules/cumin_daemon/target_port.h
+++ b/modules/cumin_daemon/target_port.h
@@ -53,9 +53,8 @@
                                 CallStory& story);
   Task<CallOutcome> Exchange(const MeshCall& call, CallerWatch& caller,
                              CallStory& story);
-  CallOutcome Judge(const MeshCall& call, ExchangeResult result);
+  CallOutcome Judge(ExchangeResult result) const;
   HttpRequest MakeRequest(const MeshCall& call) const;
-  CallOutcome WithLoad(CallOutcome outcome) const;
 
   MeshBoard& board_;
   DispatchQueue queue_;
--- a/tests/platform/mesh_process_test.cc
+++ b/tests/platform/mesh_process_test.cc
@@ -80,6 +80,7 @@
   CPPUNIT_TEST(TestLeavingTargetGetsNoWorkOnceAcknowledged);
   CPPUNIT_TEST(TestEndedDaemonAnswersWhatItHasRead);
   CPPUNIT_TEST(TestLapsedEntryComesBack);
+  CPPUNIT_TEST(TestDaemonThatReturnsWithoutTheStoreHearsOfItsPeers);
   CPPUNIT_TEST(TestBadSettingsAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -182,6 +183,25 @@
     AwaitKey(key);
   }
 
+  void TestDaemonThatReturnsWithoutTheStoreHearsOfItsPeers() {
+    StartVm("svc");
+    StartVm("caller");
+    Announce(*vms_[0], "ready", 1);
+    AwaitAnswer(*vms_[1], "/p1/", 200);
+    loop_->Post([this] { store_->is_down = true; });
+    for (const bool kills : {true, false}) {
+      if (kills) {
+        vms_[1]->daemon->Kill();
+      } else {
+        vms_[1]->daemon->Terminate();
+      }
+      vms_[1]->daemon->WaitForEnd();
+      StartDaemon(*vms_[1]);
+      AwaitReady(*vms_[1]);
+      AwaitAnswer(*vms_[1], "/p1/", 200);
+    }
+  }
+
   void TestBadSettingsAreRefused() {
     const std::string path = dir_.File("bad.yaml");
     std::ofstream(path) << "vm: a\nregion: r\nfailure_domain: z\n"
@@ -218,15 +238,20 @@
                         << "\nservice: " << service
                         << "\nstore: " << store_endpoint_
                         << "\nannounce_interval_s: 1000\n";
-    vm->daemon = test::ChildProcess::Start(
-                     {test::ProgramPath("platform/cumind_platform"), path},
-                     dir_.File(vm->name + ".out"))
-                     .value();
+    StartDaemon(*vm);
     vms_.push_back(std::move(vm));
     AwaitReady(*vms_.back());
   }
 
-  HttpResponse Send(const Endpoint& to, HttpRequest request) {
+  void StartDaemon(Vm& vm) {
+    vm.daemon = test::ChildProcess::Start(
+                    {test::ProgramPath("platform/cumind_platform"),
+                     dir_.File(vm.name + ".yaml")},
+                    dir_.File(vm.name + ".out"))
+                    .value();
+  }
+
+  HttpResponse Send(const Endpoint& to, const HttpRequest& request) {
     ExchangeOptions options;
     options.timeout = kCallTimeout;
     options.max_idle = Duration::zero();
