--- a/programs/cuminctl/main.cc
+++ b/programs/cuminctl/main.cc
@@ -11,6 +11,7 @@
 #include "cumin_core/time.h"
 #include "cumin_store/http_store.h"
 #include "cuminctl/change_commands.h"
+#include "cuminctl/explain_command.h"
 #include "cuminctl/read_commands.h"
 #include "cuminctl/status_command.h"
 
@@ -44,6 +45,7 @@
   std::uint64_t limit = kDefaultHistory;
   std::uint64_t first_version = 0;
   std::uint64_t second_version = 0;
+  std::string attempt;
 };
 
 /** The processes that the options name. */
@@ -138,6 +140,9 @@
 
 ExitCode RunCommand(const CLI::App& app, const Options& options) {
   const Output output(options.output == "json");
+  if (app.got_subcommand("explain")) {
+    return cumin::RunExplain(options.attempt, options.files, output);
+  }
   const Result<Connections> connected = Connect(options);
   if (!connected) {
     return output.Fail(connected.error());
@@ -207,6 +212,12 @@
   history->add_option("--limit", options.limit, "the most versions to list")
       ->check(CLI::Range(1, 10000));
 
+  CLI::App* explain = app.add_subcommand(
+      "explain", "Say from log files why one attempt ended as it did");
+  explain->add_option("id", options.attempt, "the attempt's id")->required();
+  explain->add_option("files", options.files,
+                      "log files of any daemons; standard input without them");
+
   CLI::App* diff =
       app.add_subcommand("diff", "Say what two versions configure differently");
   diff->add_option("from", options.first_version, "the earlier version")
