--- a/modules/cumin_daemon/mesh_board.h
+++ b/modules/cumin_daemon/mesh_board.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "cumin_admission/announcement_book.h"
+#include "cumin_admission/link_backlog.h"
 #include "cumin_config/route_table.h"
 #include "cumin_core/random.h"
 #include "cumin_core/time.h"
@@ -36,6 +37,7 @@
   /** The routes in force; null before the first version. */
   RefPtr<const RouteTable> routes;
   AnnouncementBook announcements;
+  LinkBacklog link;
   TargetChooser chooser;
   /** By service. */
   std::map<ServiceId, RetryBudget> retry_budgets;
--- a/modules/cumin_daemon/peer_handler.cc
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -11,6 +11,8 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+/** Of an answer, about. */
+constexpr std::size_t kHeaderBytes = 400;
 constexpr char kMetricsPath[] = "/-/metrics";
 
 HttpResponse Plain(int status, std::string body) {
@@ -64,7 +66,10 @@
   if (!call) {
     co_return Plain(kBadRequest, Describe(call.error()));
   }
-  co_return EncodeOutcome(co_await target_.Run(call.value(), caller));
+  HttpResponse answer =
+      EncodeOutcome(co_await target_.Run(call.value(), caller));
+  board_.link.OnSent(answer.body.size() + kHeaderBytes, board_.clock.Now());
+  co_return answer;
 }
 
 HttpResponse PeerHandler::Forbid(const std::string& attempt) {
