--- a/modules/cumin_core/target_load.h
+++ b/modules/cumin_core/target_load.h
@@ -18,13 +18,11 @@
   bool leaving = false;
   /** How long a call holds a slot on average; zero when unknown. */
   Duration mean_time{0};
-  /** How long an answer waits for the link of the target's VM. */
-  Duration link_wait{0};
 
   friend bool operator==(const TargetLoad& a, const TargetLoad& b) {
     return a.in_flight == b.in_flight && a.queued == b.queued &&
            a.usable_slots == b.usable_slots && a.leaving == b.leaving &&
-           a.mean_time == b.mean_time && a.link_wait == b.link_wait;
+           a.mean_time == b.mean_time;
   }
 };
 
--- a/modules/cumin_daemon/ingress.cc
+++ b/modules/cumin_daemon/ingress.cc
@@ -117,7 +117,6 @@
           .With("left_ms", call.value().deadline - board_.clock.Now()),
       board_.clock.Now());
   response = co_await Carry(call.value(), *route, caller, story);
-  board_.link.OnSent(response.body.size(), board_.clock.Now());
   story.Add(EventLine("ingress-answered").With("status", response.status),
             board_.clock.Now());
   story.Close(response.status >= 400);
@@ -230,8 +229,7 @@
     board_.chooser.OnSuccess(target.vm);
   }
   EventLine line("tried");
-  line.With("target", target.vm.str())
-      .With("verdict", ToString(outcome.verdict));
+  line.With("target", target.vm.str()).With("verdict", ToString(outcome.verdict));
   if (outcome.verdict != Verdict::kRan) {
     line.With("reason", ToString(reason))
         .With("detail", outcome.refusal.detail);
--- a/modules/cumin_daemon/mesh_board.cc
+++ b/modules/cumin_daemon/mesh_board.cc
@@ -8,7 +8,6 @@
 
 /** Announcements that may be missed before a target counts as gone. */
 constexpr int kMissedAnnouncements = 4;
-constexpr double kBytesPerMbit = 1e6 / 8;
 
 }  // namespace
 
@@ -23,7 +22,6 @@
       log(settings.vm.str(), time_source, log_fd),
       connections(loop),
       announcements(settings.announce_interval * kMissedAnnouncements),
-      link(settings.link_mbps * kBytesPerMbit),
       chooser(Locality{settings.region, settings.failure_domain}) {}
 
 }  // namespace cumin
--- a/modules/cumin_daemon/mesh_board.h
+++ b/modules/cumin_daemon/mesh_board.h
@@ -4,7 +4,6 @@
 #include <string>
 
 #include "cumin_admission/announcement_book.h"
-#include "cumin_admission/link_backlog.h"
 #include "cumin_config/route_table.h"
 #include "cumin_core/random.h"
 #include "cumin_core/time.h"
@@ -37,7 +36,6 @@
   /** The routes in force; null before the first version. */
   RefPtr<const RouteTable> routes;
   AnnouncementBook announcements;
-  LinkBacklog link;
   TargetChooser chooser;
   /** By service. */
   std::map<ServiceId, RetryBudget> retry_budgets;
--- a/modules/cumin_daemon/peer_handler.cc
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -11,8 +11,6 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
-/** Of an answer, about. */
-constexpr std::size_t kHeaderBytes = 400;
 constexpr char kMetricsPath[] = "/-/metrics";
 
 HttpResponse Plain(int status, std::string body) {
@@ -66,10 +64,7 @@
   if (!call) {
     co_return Plain(kBadRequest, Describe(call.error()));
   }
-  HttpResponse answer =
-      EncodeOutcome(co_await target_.Run(call.value(), caller));
-  board_.link.OnSent(answer.body.size() + kHeaderBytes, board_.clock.Now());
-  co_return answer;
+  co_return EncodeOutcome(co_await target_.Run(call.value(), caller));
 }
 
 HttpResponse PeerHandler::Forbid(const std::string& attempt) {
--- a/modules/cumin_daemon/target_port.cc
+++ b/modules/cumin_daemon/target_port.cc
@@ -17,9 +17,6 @@
 /** A kept connection is used for calls that must not run twice only when it was
     used this recently. */
 constexpr Duration kFreshForAtMostOnce = std::chrono::milliseconds(0);
-/** With more to send than this, no further large answer is begun: what is small
-    and urgent would wait behind it. */
-constexpr Duration kMaxLinkWait = std::chrono::milliseconds(150);
 constexpr Duration kMaxIdle = std::chrono::seconds(5);
 /** The answer may need this much longer than the target's own limit. */
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(30);
@@ -108,7 +105,6 @@
   const MonoTime now = board_.clock.Now();
   TargetLoad load = queue_.Load(now);
   load.leaving = board_.leaving || !board_.announcements.IsReady(now);
-  load.link_wait = board_.link.Wait(now);
   return load;
 }
 
@@ -140,14 +136,6 @@
     return FailedOutcome(Verdict::kNotRun, RefusalReason::kTargetLeaving,
                          "the target takes no new work");
   }
-  const Duration link_wait = board_.link.Wait(now);
-  if (call.kind == RouteKind::kDownload && link_wait > kMaxLinkWait) {
-    return FailedOutcome(Verdict::kNotRun, RefusalReason::kShed,
-                         "this VM's link has " +
-                             std::to_string(ToMillis(link_wait)) +
-                             " ms of answers to send",
-                         link_wait);
-  }
   if (call.deadline <= now) {
     return FailedOutcome(Verdict::kNotRun, RefusalReason::kDeadlineExpired,
                          "no time is left");
--- a/modules/cumin_routing/target_chooser.cc
+++ b/modules/cumin_routing/target_chooser.cc
@@ -18,8 +18,6 @@
 constexpr double kFullPressure = 1.0;
 /** Of a call at a target that has not told its own. */
 constexpr Duration kUnknownMeanTime = std::chrono::milliseconds(100);
-/** A link with this much to send counts as full. */
-constexpr Duration kBusyLinkWait = std::chrono::milliseconds(60);
 /** Full targets that are compared for one call. Few, so that many daemons with
     the same news do not all turn to the same target. */
 constexpr int kDelayDraws = 4;
@@ -186,8 +184,7 @@
     }
     const auto distance = static_cast<std::size_t>(DistanceTo(target));
     healthy.push_back(&target);
-    if (Pressure(target, now) < kFullPressure &&
-        LinkWait(target, now) < kBusyLinkWait) {
+    if (Pressure(target, now) < kFullPressure) {
       with_room.at(distance).push_back(&target);
     }
   }
@@ -221,13 +218,6 @@
   }
 }
 
-Duration TargetChooser::LinkWait(const Target& target, MonoTime now) {
-  const Duration age = now - target.loaded_at;
-  return target.has_load
-             ? std::max<Duration>(Duration::zero(), target.load.link_wait - age)
-             : Duration::zero();
-}
-
 Duration TargetChooser::ExpectedDelay(const Target& target,
                                       MonoTime now) const {
   static constexpr std::array<Duration, 3> kWay = {
@@ -237,8 +227,7 @@
                             ? target.load.mean_time
                             : kUnknownMeanTime;
   const auto calls = Pressure(target, now) + 1.0;
-  return LinkWait(target, now) +
-         kWay.at(static_cast<std::size_t>(DistanceTo(target))) +
+  return kWay.at(static_cast<std::size_t>(DistanceTo(target))) +
          Duration(static_cast<Duration::rep>(static_cast<double>(mean.count()) *
                                              calls));
 }
--- a/modules/cumin_routing/target_chooser.h
+++ b/modules/cumin_routing/target_chooser.h
@@ -109,7 +109,6 @@
                             bool* has_any);
   Target* Draw(const std::vector<Target*>& candidates, MonoTime now,
                Random& random) const;
-  static Duration LinkWait(const Target& target, MonoTime now);
   Duration ExpectedDelay(const Target& target, MonoTime now) const;
   Target* DrawByDelay(const std::vector<Target*>& candidates, MonoTime now,
                       Random& random) const;
