--- a/modules/cumin_daemon/ingress.cc
+++ b/modules/cumin_daemon/ingress.cc
@@ -229,7 +229,8 @@
     board_.chooser.OnSuccess(target.vm);
   }
   EventLine line("tried");
-  line.With("target", target.vm.str()).With("verdict", ToString(outcome.verdict));
+  line.With("target", target.vm.str())
+      .With("verdict", ToString(outcome.verdict));
   if (outcome.verdict != Verdict::kRan) {
     line.With("reason", ToString(reason))
         .With("detail", outcome.refusal.detail);
