--- a/tests/explain/explain_test.cc
+++ b/tests/explain/explain_test.cc
@@ -10,20 +10,20 @@
 
 /** From a daemon's log of a real run: the call's whole time went into one
     connection to a VM that had gone dark. */
+// Parenthesized, since each line is put together of several literals.
 const std::vector<std::string> kLines = {
-    R"(2.02 vm-2 {"at":1400,"vm":"vm-2","event":"ingress-answered",)"
-    R"("status":503,"id":"4e42","after_ms":400})",
-    R"({"at":1000,"vm":"vm-2","event":"ingress-accepted","route":"r-1",)"
-    R"("service":"catalogue","priority":2,"wanted_in_ms":-688,"version":4,)"
-    R"("left_ms":401,"id":"4e42","after_ms":0})",
-    R"({"at":1399,"vm":"vm-2","event":"peer-failed","peer":"10.4.0.18:7020",)"
-    R"("end":"not-sent","reason":"cannot connect: timeout","id":"4e42"})",
-    R"({"at":1400,"vm":"vm-2","event":"tried","target":"vm-9",)"
-    R"("verdict":"not-run","reason":"peer-unreachable","detail":"cannot )"
-    R"(connect: timeout","id":"4e42","after_ms":400})",
-    R"({"at":1000,"vm":"vm-3","event":"ingress-accepted","id":"4e42.other"})",
-    R"({"at":1000,"vm":"vm-3","id":"4e42)",
-};
+    (R"(2.02 vm-2 {"at":1400,"vm":"vm-2","event":"ingress-answered",)"
+     R"("status":503,"id":"4e42","after_ms":400})"),
+    (R"({"at":1000,"vm":"vm-2","event":"ingress-accepted","route":"r-1",)"
+     R"("service":"catalogue","priority":2,"wanted_in_ms":-688,"version":4,)"
+     R"("left_ms":401,"id":"4e42","after_ms":0})"),
+    (R"({"at":1399,"vm":"vm-2","event":"peer-failed","peer":"10.4.0.18:7020",)"
+     R"("end":"not-sent","reason":"cannot connect: timeout","id":"4e42"})"),
+    (R"({"at":1400,"vm":"vm-2","event":"tried","target":"vm-9",)"
+     R"("verdict":"not-run","reason":"peer-unreachable","detail":"cannot )"
+     R"(connect: timeout","id":"4e42","after_ms":400})"),
+    (R"({"at":1000,"vm":"vm-3","event":"ingress-accepted","id":"4e42.other"})"),
+    (R"({"at":1000,"vm":"vm-3","id":"4e42)")};
 
 class ExplainTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ExplainTest);
