--- a/tests/routing/target_chooser_test.cc
+++ b/tests/routing/target_chooser_test.cc
@@ -189,8 +189,8 @@
     chooser.SetMembers(
         {MakeMember(0, "perth", "a", 2), MakeMember(1, "pilbara", "b", 2)},
         kStart);
-    const Duration kSlow = std::chrono::milliseconds(300);
-    const Duration kFast = std::chrono::milliseconds(50);
+    constexpr Duration kSlow = std::chrono::milliseconds(300);
+    constexpr Duration kFast = std::chrono::milliseconds(50);
     chooser.OnLoad(VmId("vm-0"), {2, 4, 2, false, kSlow}, kStart);
     chooser.OnLoad(VmId("vm-1"), {2, 1, 2, false, kFast}, kStart);
     SeededRandom random(1);
