JSON is read and written by cumin_core/json_text everywhere

Found on reading the change: four copies of a JSON reader (platform, fleet agent, route delta, explain), none with the shared one's bound on depth and its guard of exceptions. 5000 nested brackets in a status report, a configuration or a datagram threw out of the reader; the new test fails on the copies with an uncaught exception and passes now. platform/json holds base64 only and is named so.

--- a/modules/cumin_config/route_delta.cc
+++ b/modules/cumin_config/route_delta.cc
@@ -1,11 +1,11 @@
 #include "cumin_config/route_delta.h"
 
 #include <map>
-#include <memory>
 #include <set>
 #include <utility>
 
 #include "cumin_core/json_object.h"
+#include "cumin_core/json_text.h"
 
 namespace cumin {
 
@@ -141,22 +141,16 @@
   limits["header_us"] = Json::Int64{delta.limits.header_timeout.count()};
   limits["idle_us"] = Json::Int64{delta.limits.idle_timeout.count()};
   value["limits"] = limits;
-  Json::StreamWriterBuilder writer;
-  writer["indentation"] = "";
-  return Json::writeString(writer, value);
+  return ToJsonText(value);
 }
 
 Result<RouteDelta> DecodeRouteDelta(const std::string& text,
                                     const std::string& source) {
-  const std::unique_ptr<Json::CharReader> reader(
-      Json::CharReaderBuilder().newCharReader());
-  Json::Value value;
-  std::string problem;
-  if (!reader->parse(text.data(), text.data() + text.size(), &value,
-                     &problem)) {
-    return Error{ErrorCode::kInvalid, source, 0, "", problem};
+  const Result<Json::Value> value = ParseJson(text, source);
+  if (!value) {
+    return value.error();
   }
-  JsonObject fields(value, source);
+  JsonObject fields(value.value(), source);
   RouteDelta delta;
   delta.from = fields.Unsigned("from");
   delta.to = fields.Unsigned("to");
--- a/modules/cumin_daemon/fleet_agent.cc
+++ b/modules/cumin_daemon/fleet_agent.cc
@@ -1,13 +1,10 @@
 #include "cumin_daemon/fleet_agent.h"
 
-#include <json/reader.h>
-#include <json/writer.h>
-
 #include <algorithm>
-#include <memory>
 #include <utility>
 
 #include "cumin_core/json_object.h"
+#include "cumin_core/json_text.h"
 #include "cumin_fleet/fleet_codec.h"
 
 namespace cumin {
@@ -31,18 +28,6 @@
 /** Numbers of probes made for others start here, beyond the detector's own. */
 constexpr ProbeId kFirstErrand = ProbeId{1} << 40U;
 
-std::string ToText(const Json::Value& value) {
-  Json::StreamWriterBuilder writer;
-  writer["indentation"] = "";
-  return Json::writeString(writer, value);
-}
-
-bool Parse(const std::string& text, Json::Value* value) {
-  const std::unique_ptr<Json::CharReader> reader(
-      Json::CharReaderBuilder().newCharReader());
-  return reader->parse(text.data(), text.data() + text.size(), value, nullptr);
-}
-
 asio::ip::udp::endpoint ToUdp(const Endpoint& endpoint) {
   return {asio::ip::make_address_v4(endpoint.address), endpoint.port};
 }
@@ -103,14 +88,18 @@
   HttpRequest request;
   request.method = "POST";
   request.path = kComparePath;
-  request.body = ToText(ask);
+  request.body = ToJsonText(ask);
   const Result<HttpResponse> answer =
       co_await peers_.Send(contact, std::move(request), kCompareTimeout);
-  Json::Value value;
-  if (!answer || !Parse(answer.value().body, &value)) {
+  if (!answer) {
+    co_return false;
+  }
+  const Result<Json::Value> value =
+      ParseJson(answer.value().body, ToString(contact));
+  if (!value) {
     co_return false;
   }
-  JsonObject fields(value, ToString(contact));
+  JsonObject fields(value.value(), ToString(contact));
   const std::vector<Member> members = ReadMembers(fields, "members");
   if (!fields.Finish()) {
     co_return false;
@@ -123,11 +112,11 @@
 }
 
 Result<std::string> FleetAgent::OnCompare(const std::string& body) {
-  Json::Value value;
-  if (!Parse(body, &value)) {
-    return Error{ErrorCode::kInvalid, "peer", 0, "", "is not JSON"};
+  const Result<Json::Value> value = ParseJson(body, "peer");
+  if (!value) {
+    return value.error();
   }
-  JsonObject fields(value, "peer");
+  JsonObject fields(value.value(), "peer");
   JsonObject self_fields = fields.Object("self");
   const Member asker = ReadMember(self_fields);
   const std::vector<std::string> digests =
@@ -153,7 +142,7 @@
   Publish();
   Json::Value answer;
   answer["members"] = ToJson(members);
-  return ToText(answer);
+  return ToJsonText(answer);
 }
 
 void FleetAgent::AnnounceTarget() {
@@ -280,16 +269,16 @@
     value["a"] = about.str();
   }
   boost::system::error_code ignored;
-  socket_.send_to(asio::buffer(ToText(value)), ToUdp(to), 0, ignored);
+  socket_.send_to(asio::buffer(ToJsonText(value)), ToUdp(to), 0, ignored);
 }
 
 void FleetAgent::OnDatagram(const std::string& text, const Endpoint& sender) {
-  Json::Value value;
-  if (!Parse(text, &value)) {
+  const Result<Json::Value> value = ParseJson(text, "peer");
+  if (!value) {
     return;
   }
-  const Result<GossipMessage> message = ParseGossip(value);
-  JsonObject fields(value, "peer");
+  const Result<GossipMessage> message = ParseGossip(value.value());
+  JsonObject fields(value.value(), "peer");
   const std::uint64_t kind = fields.Unsigned("t");
   const ProbeId probe = fields.Unsigned("n");
   const VmId to = fields.Name<VmId>("o");
--- a/programs/cuminctl/explain_command.cc
+++ b/programs/cuminctl/explain_command.cc
@@ -1,14 +1,13 @@
 #include "cuminctl/explain_command.h"
 
-#include <json/reader.h>
-
 #include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <iterator>
-#include <memory>
 #include <utility>
 
+#include "cumin_core/json_text.h"
+
 namespace cumin {
 
 namespace {
@@ -29,11 +28,12 @@
   if (begin == std::string::npos) {
     return false;
   }
-  const std::unique_ptr<Json::CharReader> reader(
-      Json::CharReaderBuilder().newCharReader());
-  return reader->parse(line.data() + begin, line.data() + line.size(), value,
-                       nullptr) &&
-         value->isObject() && (*value)["event"].isString();
+  const Result<Json::Value> parsed = ParseJson(line.substr(begin), "log");
+  if (!parsed || !parsed.value().isObject()) {
+    return false;
+  }
+  *value = parsed.value();
+  return (*value)["event"].isString();
 }
 
 std::string DescribeTry(const Json::Value& fields) {
--- a/tests/platform/platform_documents_test.cc
+++ b/tests/platform/platform_documents_test.cc
@@ -1,7 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "announcement_handler.h"
-#include "json.h"
+#include "base64.h"
+#include "cumin_config/route_delta.h"
 #include "platform_route_source.h"
 #include "support/property.h"
 
@@ -47,6 +48,7 @@
   CPPUNIT_TEST(TestConfigurationCutAnywhereIsRefused);
   CPPUNIT_TEST(TestReportIsRead);
   CPPUNIT_TEST(TestReportsOfOtherWritersNameNothing);
+  CPPUNIT_TEST(TestDeeplyNestedBytesAreRefused);
   CPPUNIT_TEST(TestBase64);
   CPPUNIT_TEST_SUITE_END();
 
@@ -135,6 +137,13 @@
     }
   }
 
+  void TestDeeplyNestedBytesAreRefused() {
+    const std::string text(5000, '[');
+    CPPUNIT_ASSERT(!PlatformRouteSource().Parse(text));
+    CPPUNIT_ASSERT(!AnnouncementHandler::Parse("i-1", text, MakeSettings()));
+    CPPUNIT_ASSERT(!DecodeRouteDelta(text, "test"));
+  }
+
   void TestBase64() {
     test::CheckProperty("base64 round trip", [] {
       const auto bytes = *rc::gen::arbitrary<std::string>();
--- a/tests/standins/platform_store/platform_store_standin.cc
+++ b/tests/standins/platform_store/platform_store_standin.cc
@@ -1,6 +1,7 @@
 #include "standins/platform_store/platform_store_standin.h"
 
-#include "json.h"
+#include "base64.h"
+#include "cumin_core/json_text.h"
 
 namespace cumin::test {
 
@@ -8,8 +9,6 @@
 
 using platform::DecodeBase64;
 using platform::EncodeBase64;
-using platform::ParseJson;
-using platform::WriteJson;
 
 constexpr Duration kWatchStep = std::chrono::milliseconds(5);
 
@@ -17,7 +16,7 @@
   HttpResponse response;
   response.status = status;
   response.headers.Set("Content-Type", "application/json");
-  response.body = WriteJson(body);
+  response.body = ToJsonText(body);
   return response;
 }
 
@@ -156,10 +155,11 @@
 }
 
 HttpResponse PlatformStoreStandin::Transact(const std::string& text) {
-  Json::Value body;
-  if (!ParseJson(text, &body)) {
+  const Result<Json::Value> parsed = ParseJson(text, "caller");
+  if (!parsed) {
     return Answer(400, Json::Value(Json::objectValue));
   }
+  const Json::Value& body = parsed.value();
   for (const Json::Value& it : body["precondition"]) {
     const auto found = items_.find(it["key"].asString());
     const std::uint64_t now =
