A version gets past watchers that the store refuses

The others took the watch over only after 1.5 s of silence and a turn's wait, and a version that one of them pulled from another region was not passed on inside its own. Ruled out: a lost push (none was sent), readiness (all were ready). Change: the daemon that reads a version from the store also sends it to the watchers of the other regions, who pass it on; a version that was pulled across regions is passed on; a refused watcher asks the next in turn, two turns far at most, so that an outage of the store puts six daemons of a region on duty and no more.

--- a/modules/cumin_daemon/config_agent.cc
+++ b/modules/cumin_daemon/config_agent.cc
@@ -37,6 +37,7 @@
       anti_entropy_(AntiEntropySettings{}),
       readiness_(kPeersToBeReady),
       backoff_(kStoreBackoff),
+      in_force_since_(board.clock.Now()),
       store_heard_(board.clock.Now()) {}
 
 void ConfigAgent::Start(FleetAgent& fleet) {
@@ -75,11 +76,19 @@
     taken = co_await PullFrom(peer->endpoint);
   }
   if (taken && taken.value()) {
-    PassOn(root, board_.settings.vm);
+    const Member* const top = fleet_->Find(root);
+    const bool is_local =
+        top != nullptr && top->region == board_.settings.region;
+    PassOn(is_local ? root : board_.settings.vm, board_.settings.vm);
   }
   co_return taken.has_value();
 }
 
+void ConfigAgent::OnAskedToWatch(const VmId& from) {
+  board_.log.Write(EventLine("watch-taken-over").With("peer", from.str()));
+  rotation_.OnAsked(board_.clock.Now());
+}
+
 std::string ConfigAgent::OnPull(std::uint64_t have) const {
   if (!board_.routes || board_.routes->version() <= have) {
     return "";
@@ -137,6 +146,7 @@
       co_await SleepFor(kCoalesce);
     } else {
       store_heard_ = std::min(store_heard_, board_.clock.Now());
+      asio::co_spawn(board_.executor, AskSuccessorToWatch(), asio::detached);
       co_await SleepFor(backoff_.Next(board_.random));
     }
   }
@@ -202,7 +212,11 @@
     const Member* const peer = fleet_->Find(pull->peer);
     bool succeeded = false;
     if (peer != nullptr) {
+      const bool is_local = peer->region == board_.settings.region;
       succeeded = co_await PullFrom(peer->endpoint);
+      if (succeeded && !is_local) {
+        PassOn(board_.settings.vm, board_.settings.vm);
+      }
     }
     anti_entropy_.OnPullEnd(succeeded, board_.clock.Now(), board_.random);
   }
@@ -242,6 +256,7 @@
           .With("routes", static_cast<std::int64_t>(table->routes().size()))
           .With("source", source));
   board_.routes = table;
+  in_force_since_ = board_.clock.Now();
   recent_.push_back(table);
   if (recent_.size() > kRecentVersions) {
     recent_.pop_front();
@@ -275,6 +290,7 @@
 }
 
 void ConfigAgent::SpreadFromHere() {
+  CrossRegions();
   const VmId self = board_.settings.vm;
   const std::vector<VmId>& ranking =
       fleet_->Plan().FetcherRanking(board_.settings.region);
@@ -286,6 +302,51 @@
                  asio::detached);
 }
 
+void ConfigAgent::CrossRegions() {
+  const SpreadPlan& plan = fleet_->Plan();
+  for (const RegionId& region : plan.Regions()) {
+    if (region == board_.settings.region) {
+      continue;
+    }
+    // To all of them at once: one may be dead and not known to be.
+    for (const VmId& it : plan.Fetchers(region)) {
+      asio::co_spawn(board_.executor, CrossTo(it), asio::detached);
+    }
+  }
+}
+
+Task<void> ConfigAgent::CrossTo(VmId fetcher) {
+  (void)co_await Push(fetcher, board_.settings.vm);
+}
+
+Task<void> ConfigAgent::AskSuccessorToWatch() {
+  const SpreadPlan& plan = fleet_->Plan();
+  const std::vector<VmId>& ranking =
+      plan.FetcherRanking(board_.settings.region);
+  const int next = FetcherRotation::Successor(
+      plan.FetcherRank(board_.settings.vm), static_cast<int>(ranking.size()));
+  if (next < 0) {
+    co_return;
+  }
+  const VmId successor = ranking[static_cast<std::size_t>(next)];
+  const Member* const member = fleet_->Find(successor);
+  if (member == nullptr) {
+    co_return;
+  }
+  const Endpoint peer = member->endpoint;
+  HttpRequest request;
+  request.method = "POST";
+  request.path = kWatchPath;
+  request.query = board_.settings.vm.str();
+  const Result<HttpResponse> answer =
+      co_await peers_.Send(peer, std::move(request), kPeerTimeout);
+  if (!answer) {
+    board_.log.Write(EventLine("watch-not-handed-over")
+                         .With("peer", successor.str())
+                         .With("error", Describe(answer.error())));
+  }
+}
+
 Task<void> ConfigAgent::HandToFirstFetcher(VmId first) {
   // One daemon spreads each version; the others only make sure that it has it.
   const bool was_taken = co_await Push(first, first);
--- a/modules/cumin_daemon/config_agent.h
+++ b/modules/cumin_daemon/config_agent.h
@@ -32,7 +32,9 @@
 /** Brings each version of the routes into force here, forward only.
 
     A few daemons of each region watch the store; the others get changes through
-    the region's tree, and by pulls from a peer that is ahead.
+    the region's tree, and by pulls from a peer that is ahead. The daemon that
+    reads a version first also sends it to the watchers of the other regions,
+    whose store may be out of reach.
 */
 class ConfigAgent final : public FleetAgent::Listener {
  public:
@@ -58,9 +60,18 @@
       @returns a RouteDelta from there, or empty when nothing is newer */
   std::string OnPull(std::uint64_t have) const;
 
+  /** A daemon of this region that watches the store has lost it. */
+  void OnAskedToWatch(const VmId& from);
+
   /** @returns the version in force, 0 for none */
   std::uint64_t InForce() const;
 
+  /** @returns how long the version in force has been so here */
+  Duration Age() const { return board_.clock.Now() - in_force_since_; }
+
+  /** @returns since when nobody of this region has heard the store */
+  Duration StoreQuiet() const;
+
   /** Called after each change of the version in force. */
   void SetOnChange(std::function<void()> on_change) {
     on_change_ = std::move(on_change);
@@ -76,12 +87,15 @@
   bool IsOnDuty();
   bool Take(const RefPtr<const RouteTable>& table, const char* source);
   Result<bool> TakeDelta(const std::string& body, const char* source);
+  /** Brings a version that was read from the store into every region. */
   void SpreadFromHere();
+  void CrossRegions();
+  Task<void> CrossTo(VmId fetcher);
+  Task<void> AskSuccessorToWatch();
   void PassOn(const VmId& root, const VmId& node);
   Task<void> HandToFirstFetcher(VmId first);
   Task<void> PushTo(VmId child, VmId root);
   Task<bool> Push(VmId child, VmId root);
-  Duration StoreQuiet() const;
   void CheckReady();
 
   MeshBoard& board_;
@@ -95,6 +109,7 @@
   RetryBackoff backoff_;
   /** Earlier versions, to make deltas from; the newest last. */
   std::deque<RefPtr<const RouteTable>> recent_;
+  MonoTime in_force_since_;
   /** In the future while this daemon's own watch is in order. */
   MonoTime store_heard_;
   std::uint64_t watched_revision_ = 0;
@@ -104,5 +119,7 @@
 /** Paths of the requests that carry versions between daemons. */
 constexpr char kPushPath[] = "/-/config/push";
 constexpr char kPullPath[] = "/-/config/pull";
+/** Path of the request to watch the store; the query names the sender. */
+constexpr char kWatchPath[] = "/-/config/watch";
 
 }  // namespace cumin
--- a/modules/cumin_daemon/peer_handler.cc
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -51,6 +51,10 @@
   if (request.path == kPushPath) {
     co_return co_await Push(std::move(request));
   }
+  if (request.path == kWatchPath) {
+    config_.OnAskedToWatch(VmId(request.query));
+    co_return Plain(200, "");
+  }
   if (request.path == kMetricsPath) {
     co_return Metrics();
   }
--- a/modules/cumin_fleet/fetcher_rotation.cc
+++ b/modules/cumin_fleet/fetcher_rotation.cc
@@ -23,6 +23,13 @@
   return on_duty_until_ && now < *on_duty_until_;
 }
 
+int FetcherRotation::Successor(int rank, int members) {
+  const int next = rank + SpreadPlan::kFetchers;
+  const bool is_asked = rank >= 0 && next < members &&
+                        next < (1 + kAskedTurns) * SpreadPlan::kFetchers;
+  return is_asked ? next : -1;
+}
+
 bool FetcherRotation::IsNextInTurn(int rank, int members,
                                    Duration quiet) const {
   const Duration over = quiet - settings_.quiet - delay_;
--- a/modules/cumin_fleet/fetcher_rotation.h
+++ b/modules/cumin_fleet/fetcher_rotation.h
@@ -22,12 +22,20 @@
     The first two of the region's ranking always do. When no daemon of the
     region has heard the store for a while, two more for each step take over,
     so the number of new watches in a region is capped whatever its size. A
-    read needs no lease: two watchers too many cost calls, not safety.
+    watcher that the store refuses need not wait for that: it asks the next in
+    turn, at most kAskedTurns turns far, so that an outage of the store puts
+    few daemons on duty. A read needs no lease: two watchers too many cost
+    calls, not safety.
 
     Not thread-safe.
 */
 class FetcherRotation {
  public:
+  /** Turns behind the first that watchers ask directly. Two cover a store that
+      refuses the watchers of both first turns; longer refusals are left to the
+      slower way. */
+  static constexpr int kAskedTurns = 2;
+
   /** @param settings  times
       @param random    spreads the take-over inside a step */
   FetcherRotation(const FetcherSettings& settings, Random& random);
@@ -39,6 +47,14 @@
       @returns true when this daemon is to hold a watch */
   bool IsOnDuty(int rank, int members, Duration quiet, MonoTime now);
 
+  /** A watcher that the store refuses asked this daemon to watch. */
+  void OnAsked(MonoTime now) { on_duty_until_ = now + settings_.hold; }
+
+  /** @param rank     place of a watcher that the store refuses
+      @param members  members in the ranking
+      @returns the place of the daemon that it asks to watch, or -1 for none */
+  static int Successor(int rank, int members);
+
  private:
   bool IsNextInTurn(int rank, int members, Duration quiet) const;
 
--- a/tests/fleet/spread_test.cc
+++ b/tests/fleet/spread_test.cc
@@ -146,6 +146,43 @@
   RC_FAIL("nobody took over");
 }
 
+/** The store refuses some daemons of a region; each watcher that it refuses
+    asks its successor.
+    @returns the ranks that hold or tried a watch, in the order of asking */
+std::vector<int> AskedToWatch(int members, const std::set<int>& refused) {
+  std::vector<int> on_duty;
+  for (int first = 0; first < std::min(members, SpreadPlan::kFetchers);
+       ++first) {
+    int rank = first;
+    while (rank >= 0) {
+      on_duty.push_back(rank);
+      rank = refused.count(rank) > 0 ? FetcherRotation::Successor(rank, members)
+                                     : -1;
+    }
+  }
+  return on_duty;
+}
+
+void RefusedWatchersAskAtOnce() {
+  const int n = *rc::gen::inRange(1, 40);
+  const int refused_first = *rc::gen::inRange(0, 5);
+  std::set<int> refused;
+  for (int i = 0; i < refused_first; ++i) {
+    refused.insert(i);
+  }
+  const std::vector<int> on_duty = AskedToWatch(n, refused);
+  RC_ASSERT(refused_first >= n ||
+            *std::max_element(on_duty.begin(), on_duty.end()) >= refused_first);
+  std::set<int> everybody;
+  for (int i = 0; i < n; ++i) {
+    everybody.insert(i);
+  }
+  // An outage of the store puts no more on duty than the asked turns.
+  const auto most = static_cast<std::size_t>(
+      (1 + FetcherRotation::kAskedTurns) * SpreadPlan::kFetchers);
+  RC_ASSERT(AskedToWatch(n, everybody).size() <= most);
+}
+
 /** A herd returns at once and each member needs one page from one peer.
     @param jitter  false is the deliberate fault: fixed waits */
 void HerdReturnIsBounded(bool jitter) {
@@ -186,6 +223,8 @@
   CPPUNIT_TEST(TestFetchersDoNotGrowWithTheFleet);
   CPPUNIT_TEST(TestRankingMovesLittle);
   CPPUNIT_TEST(TestFrozenFetchersAreReplaced);
+  CPPUNIT_TEST(TestRefusedWatchersAskAtOnce);
+  CPPUNIT_TEST(TestAskedDaemonWatchesForAWhile);
   CPPUNIT_TEST(TestHerdReturnIsBounded);
   CPPUNIT_TEST(TestOtherContentsAreReported);
   CPPUNIT_TEST(TestGatherCoversEachMemberOnce);
@@ -282,6 +321,23 @@
                         [] { FrozenFetchersAreReplaced(true); });
   }
 
+  void TestRefusedWatchersAskAtOnce() {
+    test::CheckProperty("watchers that the store refuses ask the next",
+                        RefusedWatchersAskAtOnce);
+  }
+
+  void TestAskedDaemonWatchesForAWhile() {
+    SeededRandom random(1);
+    FetcherSettings settings;
+    FetcherRotation rotation(settings, random);
+    const MonoTime now{};
+    const Duration heard(0);
+    CPPUNIT_ASSERT(!rotation.IsOnDuty(3, 6, heard, now));
+    rotation.OnAsked(now);
+    CPPUNIT_ASSERT(rotation.IsOnDuty(3, 6, heard, now));
+    CPPUNIT_ASSERT(!rotation.IsOnDuty(3, 6, heard, now + settings.hold));
+  }
+
   void TestHerdReturnIsBounded() {
     test::CheckPropertyFails("a herd's return is bounded",
                              [] { HerdReturnIsBounded(false); });
--- a/tests/platform/mesh_process_test.cc
+++ b/tests/platform/mesh_process_test.cc
@@ -1,13 +1,14 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <fstream>
 #include <memory>
+#include <set>
 #include <thread>
 
 #include "cumin_http/http_connection_pool.h"
 #include "cumin_http/http_listener.h"
 #include "standins/platform_store/platform_store_standin.h"
+#include "standins/platform_store/platform_texts.h"
 #include "support/child_process.h"
 #include "support/loop_thread.h"
 #include "support/temp_dir.h"
@@ -18,24 +19,15 @@
 
 constexpr char kAttempt[] = "X-Attempt-Id";
 constexpr Duration kCallTimeout = std::chrono::seconds(10);
+/** Longer than any test, so that no target is taken for gone. */
+constexpr int kAnnounceIntervalS = 1000;
 
-/** A port that was free a moment ago. */
-Endpoint FreeEndpoint() {
-  asio::io_context loop;
-  asio::ip::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
-  return Endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
-}
+using test::AnnouncementText;
+using test::FreeEndpoint;
 
 std::string MakeConfiguration(int version, const std::string& kind) {
-  return R"({"version":"r)" + std::to_string(version) +
-         R"(","resources":[{"type":"routes","metadata":{"name":"r"},"spec":)"
-         R"({"host":"shop.example","prefix":"/p)" +
-         std::to_string(version) + R"(/","kind":")" + kind +
-         R"(","timeout-s":5,"target-latency-s":1,"priority":1,"attempts":2,)"
-         R"("service":"svc"}},{"type":"services","metadata":{"name":"svc"},)"
-         R"("spec":{}},{"type":"limits","metadata":{},"spec":)"
-         R"({"max-header-bytes":16384,"max-body-bytes":100000,)"
-         R"("header-timeout-s":3,"idle-timeout-s":15}}]})";
+  return test::MakeConfigurationText(
+      version, {{"r", "/p" + std::to_string(version) + "/", kind, "svc"}});
 }
 
 /** Plays a target: answers with the digest and says what it was asked. */
@@ -60,14 +52,40 @@
   HttpRequest last;
 };
 
+/** The way of one VM to the store, which can be closed. */
+class StoreWay final : public HttpRequestHandler {
+ public:
+  explicit StoreWay(HttpRequestHandler& store) : store_(store) {}
+
+  Task<HttpResponse> Handle(HttpRequest request, CallerWatch& caller) override {
+    const bool is_watch = request.path == "/kv-watch";
+    HttpResponse refusal;
+    refusal.status = 503;
+    if (is_closed) {
+      co_return refusal;
+    }
+    watches += is_watch ? 1 : 0;
+    HttpResponse answer = co_await store_.Handle(std::move(request), caller);
+    watches -= is_watch ? 1 : 0;
+    if (is_closed) {
+      co_return refusal;
+    }
+    co_return answer;
+  }
+
+  bool is_closed = false;
+  /** Watches under way. */
+  int watches = 0;
+
+ private:
+  HttpRequestHandler& store_;
+};
+
 /** One VM: a target played here and the daemon's process. */
 struct Vm {
-  std::string name;
-  Endpoint callers = FreeEndpoint();
-  Endpoint peers = FreeEndpoint();
-  Endpoint readiness = FreeEndpoint();
-  Endpoint announcements = FreeEndpoint();
-  Endpoint target;
+  test::VmAddresses addresses;
+  std::unique_ptr<StoreWay> store_way;
+  std::unique_ptr<HttpListener> store_listener;
   TargetHandler handler;
   std::unique_ptr<HttpListener> listener;
   std::unique_ptr<test::ChildProcess> daemon;
@@ -77,6 +95,8 @@
   CPPUNIT_TEST_SUITE(MeshProcessTest);
   CPPUNIT_TEST(TestCallReachesTheTargetBesideAnotherDaemon);
   CPPUNIT_TEST(TestNewVersionReachesEveryDaemonAndAnInvalidOneNone);
+  CPPUNIT_TEST(TestNewVersionPassesWatchersThatTheStoreRefuses);
+  CPPUNIT_TEST(TestNewVersionComesThroughTheOtherRegion);
   CPPUNIT_TEST(TestLeavingTargetGetsNoWorkOnceAcknowledged);
   CPPUNIT_TEST(TestEndedDaemonAnswersWhatItHasRead);
   CPPUNIT_TEST(TestLapsedEntryComesBack);
@@ -89,18 +109,14 @@
   void setUp() override {
     loop_ = std::make_unique<test::LoopThread>();
     store_ = std::make_unique<test::PlatformStoreStandin>(loop_->executor());
-    store_listener_ =
-        std::make_unique<HttpListener>(loop_->executor(), *store_);
-    store_endpoint_ = store_listener_->Start(Endpoint{"127.0.0.1", 0}).value();
     pool_ = std::make_unique<HttpConnectionPool>(loop_->executor());
     SetConfiguration(MakeConfiguration(1, "idempotent"));
   }
 
   void tearDown() override {
-    vms_.clear();
     loop_->Stop();
+    vms_.clear();
     pool_.reset();
-    store_listener_.reset();
     loop_.reset();
   }
 
@@ -139,6 +155,42 @@
     }
   }
 
+  void TestNewVersionPassesWatchersThatTheStoreRefuses() {
+    for (int i = 0; i < 4; ++i) {
+      StartVm("svc");
+    }
+    Announce(*vms_[0], "ready", 1);
+    AwaitAnswer(*vms_[3], "/p1/", 200);
+    AwaitWatches();
+    loop_->Post([this] {
+      for (const auto& it : vms_) {
+        it->store_way->is_closed = it->store_way->watches > 0;
+      }
+    });
+    SetConfiguration(MakeConfiguration(7, "idempotent"));
+    for (const auto& it : vms_) {
+      AwaitAnswer(*it, "/p7/", 200);
+    }
+  }
+
+  void TestNewVersionComesThroughTheOtherRegion() {
+    StartVm("svc");
+    StartVm("svc");
+    StartVm("svc", FreeEndpoint(), "far");
+    StartVm("svc", FreeEndpoint(), "far");
+    Announce(*vms_[0], "ready", 1);
+    AwaitAnswer(*vms_[3], "/p1/", 200);
+    AwaitWatches();
+    loop_->Post([this] {
+      vms_[2]->store_way->is_closed = true;
+      vms_[3]->store_way->is_closed = true;
+    });
+    SetConfiguration(MakeConfiguration(7, "idempotent"));
+    for (const auto& it : vms_) {
+      AwaitAnswer(*it, "/p7/", 200);
+    }
+  }
+
   void TestLeavingTargetGetsNoWorkOnceAcknowledged() {
     StartVm("svc");
     StartVm("svc");
@@ -211,7 +263,7 @@
     vms_[0]->daemon->Kill();
     vms_[0]->daemon->WaitForEnd();
     // A VM of another service gets the same address.
-    StartVm("other", vms_[0]->peers);
+    StartVm("other", vms_[0]->addresses.peers);
     for (const std::size_t i : {1, 2}) {
       while (Metric(*vms_[i], "cumin_members_live") != 2) {
         Pause();
@@ -242,7 +294,7 @@
   int Metric(const Vm& vm, const std::string& name) {
     HttpRequest request;
     request.path = "/-/metrics";
-    const std::string text = "\n" + Send(vm.peers, request).body;
+    const std::string text = "\n" + Send(vm.addresses.peers, request).body;
     const std::size_t at = text.find("\n" + name + " ");
     return at == std::string::npos
                ? -1
@@ -250,25 +302,30 @@
   }
 
   void StartVm(const std::string& service,
-               const Endpoint& peers = FreeEndpoint()) {
+               const Endpoint& peers = FreeEndpoint(),
+               const std::string& region = "r") {
     auto vm = std::make_unique<Vm>();
-    vm->peers = peers;
-    vm->name = "vm" + std::to_string(vms_.size());
+    test::VmAddresses& addresses = vm->addresses;
+    addresses.vm = "vm" + std::to_string(vms_.size());
+    addresses.region = region;
+    addresses.failure_domain = "z";
+    addresses.callers = FreeEndpoint();
+    addresses.peers = peers;
+    addresses.readiness = FreeEndpoint();
+    addresses.announcements = FreeEndpoint();
+    addresses.service = service;
     vm->listener =
         std::make_unique<HttpListener>(loop_->executor(), vm->handler);
+    vm->store_way = std::make_unique<StoreWay>(*store_);
+    vm->store_listener =
+        std::make_unique<HttpListener>(loop_->executor(), *vm->store_way);
     loop_->Post([&] {
-      vm->target = vm->listener->Start(Endpoint{"127.0.0.1", 0}).value();
+      const Endpoint any{"127.0.0.1", 0};
+      addresses.target = vm->listener->Start(any).value();
+      addresses.store = vm->store_listener->Start(any).value();
     });
-    const std::string path = dir_.File(vm->name + ".yaml");
-    std::ofstream(path) << "vm: " << vm->name
-                        << "\nregion: r\nfailure_domain: z\ncallers: "
-                        << vm->callers << "\npeers: " << vm->peers
-                        << "\nreadiness: " << vm->readiness
-                        << "\nannouncements: " << vm->announcements
-                        << "\ntarget: " << vm->target
-                        << "\nservice: " << service
-                        << "\nstore: " << store_endpoint_
-                        << "\nannounce_interval_s: 1000\n";
+    std::ofstream(dir_.File(addresses.vm + ".yaml"))
+        << test::MakeSettingsText(addresses, kAnnounceIntervalS);
     StartDaemon(*vm);
     vms_.push_back(std::move(vm));
     AwaitReady(*vms_.back());
@@ -277,8 +334,8 @@
   void StartDaemon(Vm& vm) {
     vm.daemon = test::ChildProcess::Start(
                     {test::ProgramPath("platform/cumind_platform"),
-                     dir_.File(vm.name + ".yaml")},
-                    dir_.File(vm.name + ".out"))
+                     dir_.File(vm.addresses.vm + ".yaml")},
+                    dir_.File(vm.addresses.vm + ".out"))
                     .value();
   }
 
@@ -304,19 +361,17 @@
     request.headers.Set("X-Deadline-Ms", "5000");
     request.headers.Set("X-Caller-Service", "forged");
     request.body = "body";
-    return Send(vm.callers, request);
+    return Send(vm.addresses.callers, request);
   }
 
   int Announce(const Vm& vm, const std::string& state, int sequence) {
+    const std::string instance = "i-" + vm.addresses.vm;
     HttpRequest request;
     request.method = "PUT";
-    request.path = "/instances/i-" + vm.name;
-    request.body = R"({"addr":")" + ToString(vm.target) +
-                   R"(","born":1000,"info":{"service":"svc","version":"v1",)"
-                   R"("zone":"z","concurrency":4},"status":{"state":")" +
-                   state + R"(","seq":)" + std::to_string(sequence) +
-                   R"(,"cold-left-s":0}})";
-    return Send(vm.announcements, request).status;
+    request.path = test::AnnouncementPath(instance);
+    request.body = test::MakeAnnouncementText(
+        vm.addresses, AnnouncementText{instance, state, sequence});
+    return Send(vm.addresses.announcements, request).status;
   }
 
   /** Calls until the status comes; before news has spread, others may. */
@@ -333,8 +388,27 @@
   void AwaitReady(const Vm& vm) {
     HttpRequest request;
     request.path = "/readyz";
-    while (Send(vm.readiness, request).status != 200) {
+    while (Send(vm.addresses.readiness, request).status != 200) {
+      Pause();
+    }
+  }
+
+  /** Waits until both watchers of each region hold a watch. */
+  void AwaitWatches() {
+    std::set<std::string> regions;
+    for (const auto& it : vms_) {
+      regions.insert(it->addresses.region);
+    }
+    const int expected = 2 * static_cast<int>(regions.size());
+    int watches = 0;
+    while (watches < expected) {
       Pause();
+      loop_->Post([&] {
+        watches = 0;
+        for (const auto& it : vms_) {
+          watches += it->store_way->watches > 0 ? 1 : 0;
+        }
+      });
     }
   }
 
@@ -353,8 +427,6 @@
   test::TempDir dir_;
   std::unique_ptr<test::LoopThread> loop_;
   std::unique_ptr<test::PlatformStoreStandin> store_;
-  std::unique_ptr<HttpListener> store_listener_;
-  Endpoint store_endpoint_;
   std::unique_ptr<HttpConnectionPool> pool_;
   std::vector<std::unique_ptr<Vm>> vms_;
   int next_attempt_ = 0;
--- /dev/null
+++ b/tests/standins/platform_store/platform_texts.cc
@@ -0,0 +1,106 @@
+#include "standins/platform_store/platform_texts.h"
+
+#include <json/value.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <set>
+#include <sstream>
+
+#include "cumin_core/json_text.h"
+
+namespace cumin::test {
+
+namespace {
+
+Json::Value Resource(const char* type, const std::string& name,
+                     Json::Value spec) {
+  Json::Value resource;
+  resource["type"] = type;
+  resource["metadata"] = Json::Value(Json::objectValue);
+  if (!name.empty()) {
+    resource["metadata"]["name"] = name;
+  }
+  resource["spec"] = std::move(spec);
+  return resource;
+}
+
+Json::Value RouteSpec(const RouteText& route) {
+  Json::Value spec;
+  spec["host"] = kRouteHost;
+  spec["prefix"] = route.prefix;
+  spec["kind"] = route.kind;
+  spec["timeout-s"] = 5;
+  spec["target-latency-s"] = 1;
+  spec["priority"] = 1;
+  spec["attempts"] = 2;
+  spec["service"] = route.service;
+  return spec;
+}
+
+}  // namespace
+
+std::string MakeConfigurationText(int version,
+                                  const std::vector<RouteText>& routes) {
+  Json::Value resources(Json::arrayValue);
+  std::set<std::string> services;
+  for (const RouteText& it : routes) {
+    resources.append(Resource("routes", it.name, RouteSpec(it)));
+    services.insert(it.service);
+  }
+  for (const std::string& it : services) {
+    resources.append(Resource("services", it, Json::Value(Json::objectValue)));
+  }
+  Json::Value limits;
+  limits["max-header-bytes"] = 16384;
+  limits["max-body-bytes"] = 100000;
+  limits["header-timeout-s"] = 3;
+  limits["idle-timeout-s"] = 15;
+  resources.append(Resource("limits", "", limits));
+  Json::Value document;
+  document["version"] = "r" + std::to_string(version);
+  document["resources"] = resources;
+  return ToJsonText(document);
+}
+
+std::string MakeSettingsText(const VmAddresses& addresses,
+                             int announce_interval_s) {
+  std::ostringstream text;
+  text << "vm: " << addresses.vm << "\nregion: " << addresses.region
+       << "\nfailure_domain: " << addresses.failure_domain
+       << "\ncallers: " << addresses.callers << "\npeers: " << addresses.peers
+       << "\nreadiness: " << addresses.readiness
+       << "\nannouncements: " << addresses.announcements
+       << "\ntarget: " << addresses.target << "\nservice: " << addresses.service
+       << "\nstore: " << addresses.store
+       << "\nannounce_interval_s: " << announce_interval_s << "\n";
+  return text.str();
+}
+
+std::string AnnouncementPath(const std::string& instance) {
+  return "/instances/" + instance;
+}
+
+std::string MakeAnnouncementText(const VmAddresses& addresses,
+                                 const AnnouncementText& announcement) {
+  Json::Value body;
+  body["addr"] = ToString(addresses.target);
+  body["born"] = announcement.born_ms;
+  body["info"]["service"] = addresses.service;
+  body["info"]["version"] = "v1";
+  body["info"]["zone"] = addresses.failure_domain;
+  body["info"]["concurrency"] = announcement.slots;
+  body["status"]["state"] = announcement.state;
+  body["status"]["seq"] = announcement.sequence;
+  body["status"]["cold-left-s"] = 0;
+  return ToJsonText(body);
+}
+
+Endpoint FreeEndpoint() {
+  boost::asio::io_context loop;
+  boost::asio::ip::tcp::acceptor acceptor(
+      loop, {boost::asio::ip::address_v4::loopback(), 0});
+  return Endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+}  // namespace cumin::test
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -108,10 +108,17 @@
   return ReadFile(output_path_ + ".err");
 }
 
-void ChildProcess::Terminate() const { kill(pid_, SIGTERM); }
-void ChildProcess::Kill() const { kill(pid_, SIGKILL); }
-void ChildProcess::Pause() const { kill(pid_, SIGSTOP); }
-void ChildProcess::Resume() const { kill(pid_, SIGCONT); }
+void ChildProcess::Terminate() const { Signal(SIGTERM); }
+void ChildProcess::Kill() const { Signal(SIGKILL); }
+void ChildProcess::Pause() const { Signal(SIGSTOP); }
+void ChildProcess::Resume() const { Signal(SIGCONT); }
+
+void ChildProcess::Signal(int signal) const {
+  // Once its end was collected, its pid may be another process's.
+  if (!status_) {
+    kill(pid_, signal);
+  }
+}
 
 bool ChildProcess::IsRunning() {
   if (status_) {
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -59,6 +59,7 @@
 
  private:
   ChildProcess(pid_t pid, std::string output_path);
+  void Signal(int signal) const;
 
   pid_t pid_;
   std::string output_path_;
