Regions tell one another of a version by its number

Cause: the change before sent each version as a delta to the watchers of all other regions; a first version goes as a whole table. Change: the root of a region's tree tells the others the number only; who does not get it from the store within the grace time of anti-entropy pulls it.

--- a/modules/cumin_daemon/config_agent.cc
+++ b/modules/cumin_daemon/config_agent.cc
@@ -76,14 +76,25 @@
     taken = co_await PullFrom(peer->endpoint);
   }
   if (taken && taken.value()) {
-    const Member* const top = fleet_->Find(root);
-    const bool is_local =
-        top != nullptr && top->region == board_.settings.region;
-    PassOn(is_local ? root : board_.settings.vm, board_.settings.vm);
+    if (root == board_.settings.vm) {
+      SpreadAsRoot();
+    } else {
+      PassOn(root, board_.settings.vm);
+    }
   }
   co_return taken.has_value();
 }
 
+void ConfigAgent::OnTold(const VmId& from, std::uint64_t version) {
+  VersionStamp theirs;
+  theirs.version = version;
+  VersionStamp ours;
+  ours.version = InForce();
+  // The contents are compared when they are pulled.
+  (void)anti_entropy_.OnPeerVersion(from, theirs, ours, board_.clock.Now(),
+                                    board_.random);
+}
+
 void ConfigAgent::OnAskedToWatch(const VmId& from) {
   board_.log.Write(EventLine("watch-taken-over").With("peer", from.str()));
   rotation_.OnAsked(board_.clock.Now());
@@ -290,33 +301,42 @@
 }
 
 void ConfigAgent::SpreadFromHere() {
-  CrossRegions();
-  const VmId self = board_.settings.vm;
   const std::vector<VmId>& ranking =
       fleet_->Plan().FetcherRanking(board_.settings.region);
-  if (ranking.empty() || ranking.front() == self) {
-    PassOn(self, self);
+  if (ranking.empty() || ranking.front() == board_.settings.vm) {
+    SpreadAsRoot();
     return;
   }
   asio::co_spawn(board_.executor, HandToFirstFetcher(ranking.front()),
                  asio::detached);
 }
 
-void ConfigAgent::CrossRegions() {
+void ConfigAgent::SpreadAsRoot() {
+  PassOn(board_.settings.vm, board_.settings.vm);
   const SpreadPlan& plan = fleet_->Plan();
   for (const RegionId& region : plan.Regions()) {
     if (region == board_.settings.region) {
       continue;
     }
-    // To all of them at once: one may be dead and not known to be.
+    // All of them at once: one may be dead and not known to be.
     for (const VmId& it : plan.Fetchers(region)) {
-      asio::co_spawn(board_.executor, CrossTo(it), asio::detached);
+      asio::co_spawn(board_.executor, Tell(it), asio::detached);
     }
   }
 }
 
-Task<void> ConfigAgent::CrossTo(VmId fetcher) {
-  (void)co_await Push(fetcher, board_.settings.vm);
+Task<void> ConfigAgent::Tell(VmId peer) {
+  const Member* const member = fleet_->Find(peer);
+  if (member == nullptr) {
+    co_return;
+  }
+  const Endpoint endpoint = member->endpoint;
+  HttpRequest request;
+  request.method = "POST";
+  request.path = kTellPath;
+  request.query = board_.settings.vm.str() + "&" + std::to_string(InForce());
+  // Whoever is not told hears of it by gossip.
+  (void)co_await peers_.Send(endpoint, std::move(request), kPeerTimeout);
 }
 
 Task<void> ConfigAgent::AskSuccessorToWatch() {
@@ -351,7 +371,7 @@
   // One daemon spreads each version; the others only make sure that it has it.
   const bool was_taken = co_await Push(first, first);
   if (!was_taken) {
-    PassOn(board_.settings.vm, board_.settings.vm);
+    SpreadAsRoot();
   }
 }
 
--- a/modules/cumin_daemon/config_agent.h
+++ b/modules/cumin_daemon/config_agent.h
@@ -32,9 +32,9 @@
 /** Brings each version of the routes into force here, forward only.
 
     A few daemons of each region watch the store; the others get changes through
-    the region's tree, and by pulls from a peer that is ahead. The daemon that
-    reads a version first also sends it to the watchers of the other regions,
-    whose store may be out of reach.
+    the region's tree, and by pulls from a peer that is ahead. The root of a
+    region's tree also tells the watchers of the other regions which version
+    there is; when they do not get it from the store, they pull it.
 */
 class ConfigAgent final : public FleetAgent::Listener {
  public:
@@ -60,6 +60,9 @@
       @returns a RouteDelta from there, or empty when nothing is newer */
   std::string OnPull(std::uint64_t have) const;
 
+  /** A daemon of another region has this version. */
+  void OnTold(const VmId& from, std::uint64_t version);
+
   /** A daemon of this region that watches the store has lost it. */
   void OnAskedToWatch(const VmId& from);
 
@@ -87,10 +90,10 @@
   bool IsOnDuty();
   bool Take(const RefPtr<const RouteTable>& table, const char* source);
   Result<bool> TakeDelta(const std::string& body, const char* source);
-  /** Brings a version that was read from the store into every region. */
   void SpreadFromHere();
-  void CrossRegions();
-  Task<void> CrossTo(VmId fetcher);
+  /** Spreads the version in force as the root of this region's tree. */
+  void SpreadAsRoot();
+  Task<void> Tell(VmId peer);
   Task<void> AskSuccessorToWatch();
   void PassOn(const VmId& root, const VmId& node);
   Task<void> HandToFirstFetcher(VmId first);
@@ -119,6 +122,9 @@
 /** Paths of the requests that carry versions between daemons. */
 constexpr char kPushPath[] = "/-/config/push";
 constexpr char kPullPath[] = "/-/config/pull";
+/** Path of the request that tells of a version; the query names the sender and
+    the version. */
+constexpr char kTellPath[] = "/-/config/tell";
 /** Path of the request to watch the store; the query names the sender. */
 constexpr char kWatchPath[] = "/-/config/watch";
 
--- a/modules/cumin_daemon/peer_handler.cc
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -51,6 +51,9 @@
   if (request.path == kPushPath) {
     co_return co_await Push(std::move(request));
   }
+  if (request.path == kTellPath) {
+    co_return Tell(request.query);
+  }
   if (request.path == kWatchPath) {
     config_.OnAskedToWatch(VmId(request.query));
     co_return Plain(200, "");
@@ -93,6 +96,16 @@
   co_return Plain(taken ? 200 : kBadRequest, "");
 }
 
+HttpResponse PeerHandler::Tell(const std::string& query) {
+  const std::size_t mark = query.find('&');
+  if (mark == std::string::npos) {
+    return Plain(kBadRequest, "sender and version are missing\n");
+  }
+  config_.OnTold(VmId(query.substr(0, mark)),
+                 std::strtoull(query.c_str() + mark + 1, nullptr, 10));
+  return Plain(200, "");
+}
+
 HttpResponse PeerHandler::Metrics() const {
   std::string text;
   for (const auto& [name, value] : board_.counters) {
--- a/modules/cumin_daemon/peer_handler.h
+++ b/modules/cumin_daemon/peer_handler.h
@@ -21,6 +21,7 @@
   Task<HttpResponse> RunCall(HttpRequest request, CallerWatch& caller);
   HttpResponse Forbid(const std::string& attempt);
   Task<HttpResponse> Push(HttpRequest request);
+  HttpResponse Tell(const std::string& query);
   HttpResponse Metrics() const;
 
   MeshBoard& board_;
