Metrics page with latency histograms; every refusal of the ingress is logged

A request with an unreadable time budget was refused without a line. Change: MeshMetrics counts answers, verdicts by hop and reason, retries, store calls by kind and result, and latencies by hop and route in bins shared by all daemons (Boost.Histogram); gauges for retry budgets, version and its age, the store's silence, members, memory. Ingress::Handle logs and counts in one place.

--- a/modules/cumin_daemon/cumin_daemon.h
+++ b/modules/cumin_daemon/cumin_daemon.h
@@ -7,6 +7,7 @@
     between daemons, `TargetPort` hands them to the target. `FleetAgent`,
     `ConfigAgent` and `ContactKeeper` keep members, routes and the store's
    entry. They share one `MeshBoard`; `MeshDaemon` starts and ends them.
+    `MeshMetrics` counts what `EventLog` tells call by call.
 
     Depends on: cumin_http, cumin_store (the interface), cumin_fleet,
     cumin_config, cumin_routing, cumin_admission, cumin_core.
--- a/modules/cumin_daemon/ingress.cc
+++ b/modules/cumin_daemon/ingress.cc
@@ -74,59 +74,66 @@
     : board_(board), target_(target), peers_(peers) {}
 
 Task<HttpResponse> Ingress::Handle(HttpRequest request, CallerWatch& caller) {
-  std::string attempt = request.headers.Get(board_.names.attempt);
-  CallStory story(board_.log, attempt);
+  CallStory story(board_.log, request.headers.Get(board_.names.attempt));
+  HttpResponse response = co_await Serve(std::move(request), caller, story);
+  story.Add(EventLine("ingress-answered").With("status", response.status),
+            board_.clock.Now());
+  story.Close(response.status >= 400);
+  board_.metrics.CountAnswer(response.status);
+  co_return response;
+}
+
+Task<HttpResponse> Ingress::Serve(HttpRequest request, CallerWatch& caller,
+                                  CallStory& story) {
+  const MonoTime arrived = board_.clock.Now();
   const RefPtr<const RouteTable> routes = board_.routes;
-  HttpResponse response;
   if (!board_.ready || !routes) {
-    response =
-        Refuse(kUnavailable, "no configuration yet", kStartingRetryAfter);
     story.Add(EventLine("ingress-refused").With("reason", "no-configuration"),
-              board_.clock.Now());
-    story.Close(true);
-    co_return response;
+              arrived);
+    co_return Refuse(kUnavailable, "no configuration yet", kStartingRetryAfter);
   }
   const std::string host = HostOf(request);
   const Route* const route = routes->Find(host, request.path);
-  if (route == nullptr || attempt.empty()) {
+  if (route == nullptr) {
     story.Add(
         EventLine("ingress-refused")
-            .With("reason",
-                  route == nullptr ? "unknown-route" : "no attempt id")
+            .With("reason", "unknown-route")
             .With("host", host)
             .With("path", request.path)
             .With("version", static_cast<std::int64_t>(routes->version())),
-        board_.clock.Now());
-    story.Close(true);
-    co_return route == nullptr
-        ? Refuse(kNotFound, "no route for this host and path")
-        : Refuse(kBadRequest, board_.names.attempt + " is missing");
+        arrived);
+    co_return Refuse(kNotFound, "no route for this host and path");
   }
-  const Result<MeshCall> call =
-      MakeCall(std::move(request), *route, std::move(attempt));
+  const Result<MeshCall> call = MakeCall(std::move(request), *route);
   if (!call) {
-    co_return Refuse(kBadRequest, Describe(call.error()));
+    const std::string reason = Describe(call.error());
+    story.Add(EventLine("ingress-refused")
+                  .With("reason", "bad-request")
+                  .With("detail", reason),
+              arrived);
+    co_return Refuse(kBadRequest, reason);
   }
-  story.Add(
-      EventLine("ingress-accepted")
-          .With("route", route->name)
-          .With("service", call.value().service.str())
-          .With("priority", call.value().priority)
-          .With("wanted_in_ms", call.value().wanted_by - board_.clock.Now())
-          .With("version", static_cast<std::int64_t>(routes->version()))
-          .With("left_ms", call.value().deadline - board_.clock.Now()),
-      board_.clock.Now());
-  response = co_await Carry(call.value(), *route, caller, story);
-  story.Add(EventLine("ingress-answered").With("status", response.status),
-            board_.clock.Now());
-  story.Close(response.status >= 400);
-  board_.counters["answers_" + std::to_string(response.status)] += 1;
+  story.Add(EventLine("ingress-accepted")
+                .With("route", route->name)
+                .With("service", call.value().service.str())
+                .With("priority", call.value().priority)
+                .With("wanted_in_ms", call.value().wanted_by - arrived)
+                .With("version", static_cast<std::int64_t>(routes->version()))
+                .With("left_ms", call.value().deadline - arrived),
+            arrived);
+  HttpResponse response = co_await Carry(call.value(), *route, caller, story);
+  board_.metrics.Observe(CallHop::kIngress, route->name,
+                         board_.clock.Now() - arrived);
   co_return response;
 }
 
-Result<MeshCall> Ingress::MakeCall(HttpRequest request, const Route& route,
-                                   std::string attempt) {
+Result<MeshCall> Ingress::MakeCall(HttpRequest request, const Route& route) {
   MeshCall call;
+  call.attempt = request.headers.Get(board_.names.attempt);
+  if (call.attempt.empty()) {
+    return Error{ErrorCode::kInvalid, "", 0, board_.names.attempt,
+                 "is missing"};
+  }
   const MonoTime now = board_.clock.Now();
   Duration patience = route.timeout;
   const std::string deadline = request.headers.Get(board_.names.deadline_ms);
@@ -139,7 +146,6 @@
     }
     patience = std::chrono::milliseconds(millis);
   }
-  call.attempt = std::move(attempt);
   call.service = RouteTable::DrawService(route, board_.random.Unit());
   call.caller = board_.settings.service;
   call.route = route.name;
@@ -199,6 +205,8 @@
       break;
     }
   }
+  board_.metrics.CountOutcome(CallHop::kIngress, outcome.verdict,
+                              outcome.refusal.reason);
   HttpResponse answer = Answer(call, outcome);
   co_return answer;
 }
@@ -259,7 +267,10 @@
   if (attempts.reached_targets >= route.attempts) {
     return false;
   }
-  return board_.retry_budgets[call.service].TryTake(outcome.verdict);
+  const bool is_allowed =
+      board_.retry_budgets[call.service].TryTake(outcome.verdict);
+  board_.metrics.CountRetry(is_allowed);
+  return is_allowed;
 }
 
 HttpResponse Ingress::Answer(const MeshCall& call, CallOutcome& outcome) const {
--- a/modules/cumin_daemon/ingress.h
+++ b/modules/cumin_daemon/ingress.h
@@ -28,6 +28,8 @@
  private:
   struct Attempts;
 
+  Task<HttpResponse> Serve(HttpRequest request, CallerWatch& caller,
+                           CallStory& story);
   Task<HttpResponse> Carry(const MeshCall& call, const Route& route,
                            CallerWatch& caller, CallStory& story);
   Task<CallOutcome> RunAt(const Member& target, const MeshCall& call,
@@ -36,8 +38,7 @@
                    const CallOutcome& outcome, const Attempts& attempts);
   /** @param outcome  its answer is taken out */
   HttpResponse Answer(const MeshCall& call, CallOutcome& outcome) const;
-  Result<MeshCall> MakeCall(HttpRequest request, const Route& route,
-                            std::string attempt);
+  Result<MeshCall> MakeCall(HttpRequest request, const Route& route);
 
   /** A caller that comes back has less time than it began with; the longest
       time seen on a route tells how much less.
--- a/modules/cumin_daemon/mesh_board.h
+++ b/modules/cumin_daemon/mesh_board.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <map>
-#include <string>
 
 #include "cumin_admission/announcement_book.h"
 #include "cumin_config/route_table.h"
@@ -9,6 +8,7 @@
 #include "cumin_core/time.h"
 #include "cumin_daemon/event_log.h"
 #include "cumin_daemon/header_names.h"
+#include "cumin_daemon/mesh_metrics.h"
 #include "cumin_daemon/mesh_settings.h"
 #include "cumin_http/http_connection_pool.h"
 #include "cumin_routing/retry_budget.h"
@@ -39,8 +39,7 @@
   TargetChooser chooser;
   /** By service. */
   std::map<ServiceId, RetryBudget> retry_budgets;
-  /** Counters by name, for the metrics page. */
-  std::map<std::string, std::uint64_t> counters;
+  MeshMetrics metrics;
   /** This daemon was told to end; callers are told to go elsewhere. */
   bool ends_soon = false;
   /** This daemon takes no new work any more. */
--- a/modules/cumin_daemon/mesh_daemon.cc
+++ b/modules/cumin_daemon/mesh_daemon.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "cumin_daemon/contact_keeper.h"
+#include "cumin_daemon/counted_store.h"
 #include "cumin_daemon/ingress.h"
 #include "cumin_daemon/peer_handler.h"
 
@@ -48,10 +49,11 @@
       : loop_(loop),
         board_(board),
         target_(target),
+        store_(store, board.metrics),
         peers_(board),
-        config_(board, peers_, store, source),
+        config_(board, peers_, store_, source),
         fleet_(board, peers_, config_),
-        contacts_(board, store, fleet_),
+        contacts_(board, store_, fleet_),
         ingress_(board, target, peers_),
         peer_handler_(board, target, fleet_, config_),
         readiness_(board),
@@ -170,6 +172,7 @@
   asio::io_context& loop_;
   MeshBoard& board_;
   TargetPort& target_;
+  CountedStore store_;
   PeerClient peers_;
   ConfigAgent config_;
   FleetAgent fleet_;
--- /dev/null
+++ b/modules/cumin_daemon/mesh_metrics.cc
@@ -0,0 +1,143 @@
+#include "cumin_daemon/mesh_metrics.h"
+
+#include <iterator>
+#include <sstream>
+
+namespace cumin {
+
+namespace {
+
+/** Upper edges in seconds: from a call that only passes through to the longest
+    that a caller waits. */
+constexpr double kEdgesS[] = {0,   0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
+                              0.1, 0.2,   0.5,   1,     2,    5,    10};
+
+double ToSeconds(Duration length) {
+  return std::chrono::duration<double>(length).count();
+}
+
+std::string Type(const char* name, const char* type) {
+  return std::string("# TYPE ") + name + " " + type + "\n";
+}
+
+std::string Line(const std::string& name, const std::string& labels,
+                 std::uint64_t value) {
+  return name + "{" + labels + "} " + std::to_string(value) + "\n";
+}
+
+std::string Label(const char* name, const std::string& value) {
+  return std::string(name) + "=\"" + EscapeLabel(value) + "\"";
+}
+
+}  // namespace
+
+const char* ToString(CallHop hop) {
+  switch (hop) {
+    case CallHop::kIngress:
+      return "ingress";
+    case CallHop::kQueue:
+      return "queue";
+    case CallHop::kTarget:
+      return "target";
+  }
+  return "";
+}
+
+LatencyBins::LatencyBins()
+    : bins_(std::make_tuple(boost::histogram::axis::variable<>(
+          std::begin(kEdgesS), std::end(kEdgesS)))) {}
+
+void LatencyBins::Observe(Duration latency) {
+  bins_(ToSeconds(latency));
+  sum_ += latency;
+}
+
+std::string LatencyBins::Text(const std::string& name,
+                              const std::string& labels) const {
+  const auto& axis = bins_.axis(0);
+  std::string text;
+  // What lies below the first edge counts in every bin.
+  std::uint64_t count = bins_.at(-1);
+  for (int i = 0; i < axis.size(); ++i) {
+    count += bins_.at(i);
+    std::ostringstream edge;
+    edge << axis.bin(i).upper();
+    text +=
+        Line(name + "_bucket", labels + ",le=\"" + edge.str() + "\"", count);
+  }
+  count += bins_.at(axis.size());
+  text += Line(name + "_bucket", labels + ",le=\"+Inf\"", count);
+  text +=
+      name + "_sum{" + labels + "} " + std::to_string(ToSeconds(sum_)) + "\n";
+  text += Line(name + "_count", labels, count);
+  return text;
+}
+
+void MeshMetrics::CountAnswer(int status) { answers_[status] += 1; }
+
+void MeshMetrics::CountOutcome(CallHop hop, Verdict verdict,
+                               RefusalReason reason) {
+  outcomes_[OutcomeKey{hop, verdict, reason}] += 1;
+}
+
+void MeshMetrics::CountRetry(bool was_allowed) {
+  retries_[was_allowed ? 1 : 0] += 1;
+}
+
+void MeshMetrics::CountStoreCall(const char* kind, const char* result) {
+  store_calls_[{kind, result}] += 1;
+}
+
+void MeshMetrics::Observe(CallHop hop, const std::string& route,
+                          Duration latency) {
+  latencies_[{hop, route}].Observe(latency);
+}
+
+std::string MeshMetrics::Text() const {
+  std::string text = Type("cumin_answers_total", "counter");
+  for (const auto& [status, count] : answers_) {
+    text += Line("cumin_answers_total", Label("status", std::to_string(status)),
+                 count);
+  }
+  text += Type("cumin_calls_total", "counter");
+  for (const auto& [key, count] : outcomes_) {
+    text += Line("cumin_calls_total",
+                 Label("hop", ToString(key.hop)) + "," +
+                     Label("verdict", ToString(key.verdict)) + "," +
+                     Label("reason", ToString(key.reason)),
+                 count);
+  }
+  text += Type("cumin_retries_total", "counter");
+  text += Line("cumin_retries_total", Label("allowed", "no"), retries_[0]);
+  text += Line("cumin_retries_total", Label("allowed", "yes"), retries_[1]);
+  text += Type("cumin_store_calls_total", "counter");
+  for (const auto& [key, count] : store_calls_) {
+    text += Line("cumin_store_calls_total",
+                 Label("kind", key.first) + "," + Label("result", key.second),
+                 count);
+  }
+  text += Type("cumin_latency_seconds", "histogram");
+  for (const auto& [key, bins] : latencies_) {
+    text += bins.Text(
+        "cumin_latency_seconds",
+        Label("hop", ToString(key.first)) + "," + Label("route", key.second));
+  }
+  return text;
+}
+
+std::string EscapeLabel(const std::string& value) {
+  std::string text;
+  for (const char c : value) {
+    if (c == '\n') {
+      text += "\\n";
+      continue;
+    }
+    if (c == '"' || c == '\\') {
+      text += '\\';
+    }
+    text += c;
+  }
+  return text;
+}
+
+}  // namespace cumin
--- a/modules/cumin_daemon/peer_handler.cc
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -1,5 +1,7 @@
 #include "cumin_daemon/peer_handler.h"
 
+#include <malloc.h>
+
 #include <cstdlib>
 #include <utility>
 
@@ -20,6 +22,19 @@
   return response;
 }
 
+std::string Typed(const char* name, const char* type, std::uint64_t value) {
+  return std::string("# TYPE ") + name + " " + type + "\n" + name + " " +
+         std::to_string(value) + "\n";
+}
+
+std::string Gauge(const char* name, std::uint64_t value) {
+  return Typed(name, "gauge", value);
+}
+
+std::string Total(const char* name, std::uint64_t value) {
+  return Typed(name, "counter", value);
+}
+
 }  // namespace
 
 PeerHandler::PeerHandler(MeshBoard& board, TargetPort& target,
@@ -107,19 +122,22 @@
 }
 
 HttpResponse PeerHandler::Metrics() const {
-  std::string text;
-  for (const auto& [name, value] : board_.counters) {
-    text += "cumin_" + name + "_total " + std::to_string(value) + "\n";
+  std::string text = board_.metrics.Text();
+  text += "# TYPE cumin_retry_budget gauge\n";
+  for (const auto& [service, budget] : board_.retry_budgets) {
+    text += "cumin_retry_budget{service=\"" + EscapeLabel(service.str()) +
+            "\"} " + std::to_string(budget.left()) + "\n";
   }
-  text += "cumin_config_version " + std::to_string(config_.InForce()) + "\n";
-  text += "cumin_members_live " + std::to_string(fleet_.live_count()) + "\n";
-  text += "cumin_log_lines_dropped_total " +
-          std::to_string(board_.log.dropped()) + "\n";
-  text += "cumin_connections_opened_total " +
-          std::to_string(board_.connections.opened()) + "\n";
-  text += "cumin_target_in_flight " + std::to_string(target_.Load().in_flight) +
-          "\n";
-  text += "cumin_target_queued " + std::to_string(target_.Load().queued) + "\n";
+  const TargetLoad load = target_.Load();
+  text += Gauge("cumin_config_version", config_.InForce());
+  text += Gauge("cumin_config_age_ms", ToMillis(config_.Age()));
+  text += Gauge("cumin_store_quiet_ms", ToMillis(config_.StoreQuiet()));
+  text += Gauge("cumin_members_live", fleet_.live_count());
+  text += Gauge("cumin_target_in_flight", load.in_flight);
+  text += Gauge("cumin_target_queued", load.queued);
+  text += Gauge("cumin_memory_allocated_bytes", mallinfo2().uordblks);
+  text += Total("cumin_log_lines_dropped_total", board_.log.dropped());
+  text += Total("cumin_connections_opened_total", board_.connections.opened());
   return Plain(200, text);
 }
 
--- a/modules/cumin_daemon/target_port.cc
+++ b/modules/cumin_daemon/target_port.cc
@@ -75,6 +75,8 @@
   }
   story.Add(line, board_.clock.Now());
   story.Close(failed);
+  board_.metrics.CountOutcome(CallHop::kTarget, outcome.verdict,
+                              outcome.refusal.reason);
   outcome.load = Load();
   outcome.has_load = true;
   co_return outcome;
@@ -165,6 +167,7 @@
     co_await waiting.wake_up.WaitFor(limit);
     caller.SetListener(nullptr);
     const Duration waited = board_.clock.Now() - arrived;
+    board_.metrics.Observe(CallHop::kQueue, call.route, waited);
     story.Add(EventLine("owner-queued").With("waited_ms", waited),
               board_.clock.Now());
     if (waiting.refusal) {
@@ -190,6 +193,8 @@
                             "the attempt was forbidden while it waited");
   } else {
     outcome = co_await Exchange(call, caller, story);
+    board_.metrics.Observe(CallHop::kTarget, call.route,
+                           board_.clock.Now() - now);
     if (outcome.verdict != Verdict::kMayHaveRun) {
       attempts_.End(call.attempt, board_.clock.Now());
     }
--- a/modules/cumin_routing/retry_budget.h
+++ b/modules/cumin_routing/retry_budget.h
@@ -21,6 +21,9 @@
       @returns false when the budget is used up */
   bool TryTake(Verdict verdict);
 
+  /** @returns retries that may be made now */
+  double left() const { return retries_; }
+
  private:
   double retries_ = 5;
 };
--- /dev/null
+++ b/tests/daemon/mesh_metrics_test.cc
@@ -0,0 +1,64 @@
+#include "cumin_daemon/mesh_metrics.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cumin {
+
+namespace {
+
+class MeshMetricsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MeshMetricsTest);
+  CPPUNIT_TEST(TestPageNamesWhatWasCounted);
+  CPPUNIT_TEST(TestBinsAreCumulative);
+  CPPUNIT_TEST(TestLabelsAreEscaped);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TestPageNamesWhatWasCounted() {
+    MeshMetrics metrics;
+    metrics.CountAnswer(503);
+    metrics.CountAnswer(503);
+    metrics.CountOutcome(CallHop::kTarget, Verdict::kNotRun,
+                         RefusalReason::kShed);
+    metrics.CountRetry(false);
+    metrics.CountStoreCall("watch", "unavailable");
+    const std::string page = metrics.Text();
+    for (const char* const it :
+         {"# TYPE cumin_answers_total counter\n",
+          "cumin_answers_total{status=\"503\"} 2\n",
+          "cumin_calls_total{hop=\"target\",verdict=\"not-run\","
+          "reason=\"shed\"} 1\n",
+          "cumin_retries_total{allowed=\"no\"} 1\n",
+          "cumin_store_calls_total{kind=\"watch\",result=\"unavailable\"} "
+          "1\n"}) {
+      CPPUNIT_ASSERT_MESSAGE(it, page.find(it) != std::string::npos);
+    }
+  }
+
+  void TestBinsAreCumulative() {
+    LatencyBins bins;
+    for (const int millis : {3, 30, 300, 30000}) {
+      bins.Observe(std::chrono::milliseconds(millis));
+    }
+    const std::string text = bins.Text("t", "a=\"b\"");
+    for (const char* const it :
+         {"t_bucket{a=\"b\",le=\"0.002\"} 0\n",
+          "t_bucket{a=\"b\",le=\"0.005\"} 1\n",
+          "t_bucket{a=\"b\",le=\"0.1\"} 2\n", "t_bucket{a=\"b\",le=\"10\"} 3\n",
+          "t_bucket{a=\"b\",le=\"+Inf\"} 4\n", "t_sum{a=\"b\"} 30.333000\n",
+          "t_count{a=\"b\"} 4\n"}) {
+      CPPUNIT_ASSERT_MESSAGE(it, text.find(it) != std::string::npos);
+    }
+  }
+
+  void TestLabelsAreEscaped() {
+    CPPUNIT_ASSERT_EQUAL(std::string("a\\\"b\\\\c\\n"),
+                         EscapeLabel("a\"b\\c\n"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MeshMetricsTest);
+
+}  // namespace
+
+}  // namespace cumin
--- a/tests/platform/mesh_process_test.cc
+++ b/tests/platform/mesh_process_test.cc
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <memory>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -11,6 +12,7 @@
 #include "standins/platform_store/platform_texts.h"
 #include "support/child_process.h"
 #include "support/loop_thread.h"
+#include "support/loopback.h"
 #include "support/temp_dir.h"
 
 namespace cumin::platform {
@@ -134,6 +136,14 @@
     CPPUNIT_ASSERT(left > 0 && left <= 5000);
     CPPUNIT_ASSERT(!seen.Has("Cumin-Hop"));
     CPPUNIT_ASSERT_EQUAL(404, Call(*vms_[1], "/none/").status);
+    CPPUNIT_ASSERT(
+        Metric(*vms_[1],
+               "cumin_latency_seconds_count{hop=\"ingress\",route=\"r\"}") >=
+        1);
+    CPPUNIT_ASSERT(
+        Metric(*vms_[0],
+               "cumin_latency_seconds_count{hop=\"target\",route=\"r\"}") >= 1);
+    CPPUNIT_ASSERT(Metric(*vms_[0], "cumin_config_version") == 1);
   }
 
   void TestNewVersionReachesEveryDaemonAndAnInvalidOneNone() {
@@ -176,8 +186,8 @@
   void TestNewVersionComesThroughTheOtherRegion() {
     StartVm("svc");
     StartVm("svc");
-    StartVm("svc", FreeEndpoint(), "far");
-    StartVm("svc", FreeEndpoint(), "far");
+    StartVm("svc", std::nullopt, "far");
+    StartVm("svc", std::nullopt, "far");
     Announce(*vms_[0], "ready", 1);
     AwaitAnswer(*vms_[3], "/p1/", 200);
     AwaitWatches();
@@ -302,17 +312,18 @@
   }
 
   void StartVm(const std::string& service,
-               const Endpoint& peers = FreeEndpoint(),
+               const std::optional<Endpoint>& peers = std::nullopt,
                const std::string& region = "r") {
     auto vm = std::make_unique<Vm>();
     test::VmAddresses& addresses = vm->addresses;
     addresses.vm = "vm" + std::to_string(vms_.size());
     addresses.region = region;
     addresses.failure_domain = "z";
-    addresses.callers = FreeEndpoint();
-    addresses.peers = peers;
-    addresses.readiness = FreeEndpoint();
-    addresses.announcements = FreeEndpoint();
+    const std::string own = test::OwnAddress(static_cast<int>(vms_.size()));
+    addresses.callers = FreeEndpoint(own);
+    addresses.peers = peers ? *peers : FreeEndpoint(own);
+    addresses.readiness = FreeEndpoint(own);
+    addresses.announcements = FreeEndpoint(own);
     addresses.service = service;
     vm->listener =
         std::make_unique<HttpListener>(loop_->executor(), vm->handler);
--- /dev/null
+++ b/tests/soak/fault_proxy.cc
@@ -0,0 +1,191 @@
+#include "soak/fault_proxy.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <list>
+#include <utility>
+
+namespace cumin::test {
+
+namespace {
+
+using asio::ip::tcp;
+
+/** Several times a round trip between regions, and below every timeout, so that
+    calls get slow and do not fail. */
+constexpr Duration kDelay = std::chrono::milliseconds(80);
+constexpr Duration kPoll = std::chrono::milliseconds(5);
+constexpr std::size_t kBufferBytes = 16384;
+
+tcp::endpoint ToTcp(const Endpoint& endpoint) {
+  return {asio::ip::make_address(endpoint.address), endpoint.port};
+}
+
+/** The two connections of one way through the proxy. */
+struct Way {
+  explicit Way(tcp::socket accepted)
+      : caller(std::move(accepted)), server(caller.get_executor()) {}
+
+  void Reset() {
+    is_closed = true;
+    boost::system::error_code ec;
+    caller.set_option(asio::socket_base::linger(true, 0), ec);
+    server.set_option(asio::socket_base::linger(true, 0), ec);
+    caller.close(ec);
+    server.close(ec);
+  }
+
+  tcp::socket caller;
+  tcp::socket server;
+  bool is_closed = false;
+};
+
+}  // namespace
+
+const char* ToString(LinkFault fault) {
+  switch (fault) {
+    case LinkFault::kNone:
+      return "none";
+    case LinkFault::kDelayed:
+      return "delayed";
+    case LinkFault::kReset:
+      return "reset";
+    case LinkFault::kSilent:
+      return "silent";
+    case LinkFault::kOneWay:
+      return "one-way";
+  }
+  return "";
+}
+
+class FaultProxy::Implementation
+    : public std::enable_shared_from_this<Implementation> {
+ public:
+  Implementation(const asio::any_io_executor& executor, Endpoint to)
+      : executor_(executor), acceptor_(executor), to_(std::move(to)) {}
+
+  Result<Endpoint> Start() {
+    boost::system::error_code ec;
+    acceptor_.open(tcp::v4(), ec);
+    acceptor_.bind({asio::ip::address_v4::loopback(), 0}, ec);
+    acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec) {
+      return Error{ErrorCode::kUnavailable, "", 0, "", ec.message()};
+    }
+    asio::co_spawn(executor_, AcceptForever(shared_from_this()),
+                   asio::detached);
+    return Endpoint{"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+
+  void Stop() {
+    boost::system::error_code ec;
+    acceptor_.close(ec);
+    ResetAll();
+  }
+
+  void SetFault(LinkFault fault) {
+    const bool held_bytes =
+        fault_ == LinkFault::kSilent || fault_ == LinkFault::kOneWay;
+    fault_ = fault;
+    if (fault == LinkFault::kReset || held_bytes) {
+      ResetAll();
+    }
+  }
+
+ private:
+  using Self = std::shared_ptr<Implementation>;
+
+  static Task<void> AcceptForever(Self self) {
+    while (self->acceptor_.is_open()) {
+      boost::system::error_code ec;
+      tcp::socket socket = co_await self->acceptor_.async_accept(
+          asio::redirect_error(asio::use_awaitable, ec));
+      if (ec) {
+        co_return;
+      }
+      auto way = std::make_shared<Way>(std::move(socket));
+      if (self->fault_ == LinkFault::kReset) {
+        way->Reset();
+        continue;
+      }
+      self->ways_.push_back(way);
+      asio::co_spawn(self->executor_, Carry(self, way), asio::detached);
+    }
+  }
+
+  static Task<void> Carry(Self self, std::shared_ptr<Way> way) {
+    boost::system::error_code ec;
+    co_await way->server.async_connect(
+        ToTcp(self->to_), asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+      way->Reset();
+      co_return;
+    }
+    asio::co_spawn(self->executor_,
+                   Pump(self, way, way->caller, way->server, false),
+                   asio::detached);
+    co_await Pump(self, way, way->server, way->caller, true);
+  }
+
+  static Task<void> Pump(Self self, std::shared_ptr<Way> way, tcp::socket& from,
+                         tcp::socket& to, bool is_answer) {
+    std::array<char, kBufferBytes> buffer{};
+    while (!way->is_closed) {
+      boost::system::error_code ec;
+      const std::size_t n = co_await from.async_read_some(
+          asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
+      while (!way->is_closed && self->Holds(is_answer)) {
+        co_await SleepFor(kPoll);
+      }
+      if (self->fault_ == LinkFault::kDelayed) {
+        co_await SleepFor(kDelay);
+      }
+      if (way->is_closed) {
+        co_return;
+      }
+      if (ec) {
+        boost::system::error_code ignored;
+        to.shutdown(tcp::socket::shutdown_send, ignored);
+        co_return;
+      }
+      co_await asio::async_write(to, asio::buffer(buffer.data(), n),
+                                 asio::redirect_error(asio::use_awaitable, ec));
+      if (ec) {
+        way->Reset();
+        co_return;
+      }
+    }
+  }
+
+  bool Holds(bool is_answer) const {
+    return fault_ == LinkFault::kSilent ||
+           (fault_ == LinkFault::kOneWay && is_answer);
+  }
+
+  void ResetAll() {
+    for (const std::weak_ptr<Way>& it : ways_) {
+      if (const std::shared_ptr<Way> way = it.lock()) {
+        way->Reset();
+      }
+    }
+    ways_.clear();
+  }
+
+  asio::any_io_executor executor_;
+  tcp::acceptor acceptor_;
+  const Endpoint to_;
+  LinkFault fault_ = LinkFault::kNone;
+  std::list<std::weak_ptr<Way>> ways_;
+};
+
+FaultProxy::FaultProxy(const asio::any_io_executor& executor, Endpoint to)
+    : implementation_(
+          std::make_shared<Implementation>(executor, std::move(to))) {}
+
+FaultProxy::~FaultProxy() { implementation_->Stop(); }
+
+Result<Endpoint> FaultProxy::Start() { return implementation_->Start(); }
+
+void FaultProxy::SetFault(LinkFault fault) { implementation_->SetFault(fault); }
+
+}  // namespace cumin::test
--- a/tests/standins/platform_store/platform_texts.cc
+++ b/tests/standins/platform_store/platform_texts.cc
@@ -2,8 +2,6 @@
 
 #include <json/value.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <set>
 #include <sstream>
 
@@ -96,11 +94,4 @@
   return ToJsonText(body);
 }
 
-Endpoint FreeEndpoint() {
-  boost::asio::io_context loop;
-  boost::asio::ip::tcp::acceptor acceptor(
-      loop, {boost::asio::ip::address_v4::loopback(), 0});
-  return Endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
-}
-
 }  // namespace cumin::test
--- a/tests/standins/platform_store/platform_texts.h
+++ b/tests/standins/platform_store/platform_texts.h
@@ -59,7 +59,4 @@
 std::string MakeAnnouncementText(const VmAddresses& addresses,
                                  const AnnouncementText& announcement);
 
-/** @returns an address with a port that was free a moment ago */
-Endpoint FreeEndpoint();
-
 }  // namespace cumin::test
--- /dev/null
+++ b/tests/support/loopback.cc
@@ -0,0 +1,26 @@
+#include "support/loopback.h"
+
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace cumin::test {
+
+std::string OwnAddress(int n) {
+  // 64,000 processes have addresses of their own; pids wrap at 32,768 or later.
+  const int pid = getpid();
+  const int low = pid % 250;
+  const int high = pid / 250 % 250;
+  return "127." + std::to_string(1 + high) + "." + std::to_string(1 + low) +
+         "." + std::to_string(1 + n);
+}
+
+Endpoint FreeEndpoint(const std::string& address) {
+  boost::asio::io_context loop;
+  boost::asio::ip::tcp::acceptor acceptor(
+      loop, {boost::asio::ip::make_address(address), 0});
+  return Endpoint{address, acceptor.local_endpoint().port()};
+}
+
+}  // namespace cumin::test
