Process test waits for the watchers alone

Cause of a hang seen once (platform_test, all watchers refused): daemons that start before they know the others each hold a watch until it runs out, so the test closed the store for all four. It now waits until just two hold one. Ruled out: the take-over (vm2, vm3 were asked and refused by the test's own closed way).

--- a/tests/platform/mesh_process_test.cc
+++ b/tests/platform/mesh_process_test.cc
@@ -404,7 +404,9 @@
     }
   }
 
-  /** Waits until both watchers of each region hold a watch. */
+  /** Waits until the two watchers of each region hold a watch and nobody else
+      does; daemons that started before they knew the others hold theirs until
+      it runs out. */
   void AwaitWatches() {
     std::set<std::string> regions;
     for (const auto& it : vms_) {
@@ -412,7 +414,7 @@
     }
     const int expected = 2 * static_cast<int>(regions.size());
     int watches = 0;
-    while (watches < expected) {
+    while (watches != expected) {
       Pause();
       loop_->Post([&] {
         watches = 0;
