--- a/tests/fleet/spread_test.cc
+++ b/tests/fleet/spread_test.cc
@@ -178,9 +178,9 @@
     everybody.insert(i);
   }
   // An outage of the store puts no more on duty than the asked turns.
-  const auto most = static_cast<std::size_t>(
-      (1 + FetcherRotation::kAskedTurns) * SpreadPlan::kFetchers);
-  RC_ASSERT(AskedToWatch(n, everybody).size() <= most);
+  constexpr int kMost =
+      (1 + FetcherRotation::kAskedTurns) * SpreadPlan::kFetchers;
+  RC_ASSERT(static_cast<int>(AskedToWatch(n, everybody).size()) <= kMost);
 }
 
 /** A herd returns at once and each member needs one page from one peer.
