A starting daemon asks for the whole member table, greeted or not

They asked a contact for all members only while they knew nobody; a greeting by one peer was enough to stop that, and the others came one by one by gossip. Ruled out: capacity (targets were free), the store (contacts were written at once), readiness (the version was the newest). Change: a contact is asked until one has answered, and at once at the start.

--- a/modules/cumin_daemon/contact_keeper.cc
+++ b/modules/cumin_daemon/contact_keeper.cc
@@ -93,13 +93,17 @@
 Task<void> ContactKeeper::JoinForever() {
   RetryBackoff backoff(kBackoff);
   while (!board_.ends_soon) {
-    // The entry comes first: of two daemons that start at once, the one that
-    // writes later finds the other.
+    // Of two daemons that start at once, the one that writes its entry later
+    // finds the other. Hearing of one peer is not enough: the others would come
+    // by gossip, one after another, while callers are already here.
     const bool is_alone = fleet_.live_count() < 2;
-    if (lease_ != kNoLease && is_alone) {
-      co_await JoinOnce();
+    if (is_alone || !has_joined_) {
+      const bool joined = co_await JoinOnce();
+      has_joined_ = has_joined_ || joined;
     }
-    const Duration pause = is_alone ? backoff.Next(board_.random) : kLookAround;
+    const bool is_settled = has_joined_ && !is_alone;
+    const Duration pause =
+        is_settled ? kLookAround : backoff.Next(board_.random);
     co_await SleepFor(pause);
   }
 }
--- a/modules/cumin_daemon/contact_keeper.h
+++ b/modules/cumin_daemon/contact_keeper.h
@@ -37,6 +37,8 @@
   AsyncStore& store_;
   FleetAgent& fleet_;
   LeaseId lease_ = kNoLease;
+  /** A contact has told this daemon all the members that it knows. */
+  bool has_joined_ = false;
 };
 
 }  // namespace cumin
--- a/tests/platform/mesh_process_test.cc
+++ b/tests/platform/mesh_process_test.cc
@@ -103,6 +103,7 @@
   CPPUNIT_TEST(TestEndedDaemonAnswersWhatItHasRead);
   CPPUNIT_TEST(TestLapsedEntryComesBack);
   CPPUNIT_TEST(TestDaemonThatReturnsWithoutTheStoreHearsOfItsPeers);
+  CPPUNIT_TEST(TestDaemonThatIsGreetedStillAsksForAllMembers);
   CPPUNIT_TEST(TestVmThatTookOverAnAddressIsNotTakenForTheOldOne);
   CPPUNIT_TEST(TestBadSettingsAreRefused);
   CPPUNIT_TEST_SUITE_END();
@@ -265,6 +266,29 @@
     }
   }
 
+  void TestDaemonThatIsGreetedStillAsksForAllMembers() {
+    for (int i = 0; i < 3; ++i) {
+      StartVm("svc");
+    }
+    Vm& returning = *vms_[2];
+    while (Metric(*vms_[0], "cumin_members_live") != 3) {
+      Pause();
+    }
+    returning.daemon->Kill();
+    returning.daemon->WaitForEnd();
+    loop_->Post([&] { returning.store_way->is_closed = true; });
+    StartDaemon(returning);
+    // Greeted by the others, it is no longer alone when the store answers.
+    while (Metric(returning, "cumin_members_live") < 2) {
+      Pause();
+    }
+    loop_->Post([&] { returning.store_way->is_closed = false; });
+    while (Metric(returning,
+                  "cumin_store_calls_total{kind=\"list\",result=\"ok\"}") < 1) {
+      Pause();
+    }
+  }
+
   void TestVmThatTookOverAnAddressIsNotTakenForTheOldOne() {
     StartVm("svc");
     StartVm("caller");
