Tests never draw the same loopback port twice

About 1 in 4700 VMs. Ruled out: another process (the address is the test's own). Change: FreeEndpoint remembers what it gave out.

--- a/tests/support/loopback.cc
+++ b/tests/support/loopback.cc
@@ -4,6 +4,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <mutex>
+#include <set>
 
 namespace cumin::test {
 
@@ -17,10 +19,19 @@
 }
 
 Endpoint FreeEndpoint(const std::string& address) {
+  static std::mutex mutex;
+  static std::set<Endpoint> given;
+  const std::lock_guard<std::mutex> lock(mutex);
   boost::asio::io_context loop;
-  boost::asio::ip::tcp::acceptor acceptor(
-      loop, {boost::asio::ip::make_address(address), 0});
-  return Endpoint{address, acceptor.local_endpoint().port()};
+  while (true) {
+    boost::asio::ip::tcp::acceptor acceptor(
+        loop, {boost::asio::ip::make_address(address), 0});
+    const Endpoint drawn{address, acceptor.local_endpoint().port()};
+    // Nobody listens on the earlier ones yet, so they may be drawn again.
+    if (given.insert(drawn).second) {
+      return drawn;
+    }
+  }
 }
 
 }  // namespace cumin::test
--- a/tests/support/loopback.h
+++ b/tests/support/loopback.h
@@ -12,7 +12,8 @@
     port without finding it taken by somebody's outgoing connection */
 std::string OwnAddress(int n);
 
-/** @returns an address with a port that was free a moment ago */
+/** @returns an address with a port that was free a moment ago; never the same
+    one twice */
 Endpoint FreeEndpoint(const std::string& address = "127.0.0.1");
 
 }  // namespace cumin::test
