--- a/modules/cumin_daemon/config_agent.cc
+++ b/modules/cumin_daemon/config_agent.cc
@@ -57,15 +57,7 @@
     co_return true;
   }
   watched_revision_ = std::max(watched_revision_, item.value().revision);
-  const Result<RefPtr<const RouteTable>> table =
-      source_.Parse(item.value().value);
-  if (!table) {
-    board_.log.Write(
-        EventLine("config-refused").With("error", Describe(table.error())));
-    co_return true;
-  }
-  readiness_.HearStore(table.value()->version());
-  Take(table.value(), "store");
+  TakeFromStore(item.value().value, "store");
   co_return true;
 }
 
@@ -88,10 +80,8 @@
 void ConfigAgent::OnTold(const VmId& from, std::uint64_t version) {
   VersionStamp theirs;
   theirs.version = version;
-  VersionStamp ours;
-  ours.version = InForce();
   // The contents are compared when they are pulled.
-  (void)anti_entropy_.OnPeerVersion(from, theirs, ours, board_.clock.Now(),
+  (void)anti_entropy_.OnPeerVersion(from, theirs, Ours(), board_.clock.Now(),
                                     board_.random);
 }
 
@@ -117,18 +107,22 @@
   return board_.routes ? board_.routes->version() : 0;
 }
 
+VersionStamp ConfigAgent::Ours() const {
+  VersionStamp ours;
+  ours.version = InForce();
+  return ours;
+}
+
 void ConfigAgent::OnCompose(GossipMessage& message) {
-  message.in_force.version = InForce();
+  message.in_force = Ours();
   message.store_quiet = StoreQuiet();
 }
 
 void ConfigAgent::OnMessage(const GossipMessage& message) {
   const MonoTime now = board_.clock.Now();
-  VersionStamp ours;
-  ours.version = InForce();
   readiness_.HearPeer(message.from, message.in_force.version);
   const Result<void> noted = anti_entropy_.OnPeerVersion(
-      message.from, message.in_force, ours, now, board_.random);
+      message.from, message.in_force, Ours(), now, board_.random);
   if (!noted) {
     board_.log.Write(
         EventLine("version-conflict").With("error", Describe(noted.error())));
@@ -193,17 +187,8 @@
       newest = &it;
     }
   }
-  if (newest != nullptr) {
-    const Result<RefPtr<const RouteTable>> table = source_.Parse(newest->value);
-    if (table) {
-      readiness_.HearStore(table.value()->version());
-      if (Take(table.value(), "watch")) {
-        SpreadFromHere();
-      }
-    } else {
-      board_.log.Write(
-          EventLine("config-refused").With("error", Describe(table.error())));
-    }
+  if (newest != nullptr && TakeFromStore(newest->value, "watch")) {
+    SpreadFromHere();
   }
   co_return true;
 }
@@ -213,10 +198,8 @@
     co_await SleepFor(kRepairTick);
     readiness_.SetKnownPeers(fleet_->live_count() - 1);
     CheckReady();
-    VersionStamp ours;
-    ours.version = InForce();
     const std::optional<cumin::PullFrom> pull =
-        anti_entropy_.Tick(ours, board_.clock.Now());
+        anti_entropy_.Tick(Ours(), board_.clock.Now());
     if (!pull) {
       continue;
     }
@@ -255,6 +238,17 @@
          rotation_.IsOnDuty(rank, members, StoreQuiet(), board_.clock.Now());
 }
 
+bool ConfigAgent::TakeFromStore(const std::string& text, const char* source) {
+  const Result<RefPtr<const RouteTable>> table = source_.Parse(text);
+  if (!table) {
+    board_.log.Write(
+        EventLine("config-refused").With("error", Describe(table.error())));
+    return false;
+  }
+  readiness_.HearStore(table.value()->version());
+  return Take(table.value(), source);
+}
+
 bool ConfigAgent::Take(const RefPtr<const RouteTable>& table,
                        const char* source) {
   if (board_.routes && table->version() <= board_.routes->version()) {
@@ -325,18 +319,28 @@
   }
 }
 
-Task<void> ConfigAgent::Tell(VmId peer) {
-  const Member* const member = fleet_->Find(peer);
+Task<Result<HttpResponse>> ConfigAgent::SendTo(VmId vm, const char* path,
+                                               std::string query,
+                                               std::string body) {
+  const Member* const member = fleet_->Find(vm);
   if (member == nullptr) {
-    co_return;
+    co_return Error{ErrorCode::kUnavailable, vm.str(), 0, "",
+                    "is no member any more"};
   }
-  const Endpoint endpoint = member->endpoint;
   HttpRequest request;
   request.method = "POST";
-  request.path = kTellPath;
-  request.query = board_.settings.vm.str() + "&" + std::to_string(InForce());
+  request.path = path;
+  request.query = std::move(query);
+  request.body = std::move(body);
+  co_return co_await peers_.Send(member->endpoint, std::move(request),
+                                 kPeerTimeout);
+}
+
+Task<void> ConfigAgent::Tell(VmId peer) {
+  std::string query =
+      board_.settings.vm.str() + "&" + std::to_string(InForce());
   // Whoever is not told hears of it by gossip.
-  (void)co_await peers_.Send(endpoint, std::move(request), kPeerTimeout);
+  (void)co_await SendTo(peer, kTellPath, std::move(query), "");
 }
 
 Task<void> ConfigAgent::AskSuccessorToWatch() {
@@ -349,17 +353,8 @@
     co_return;
   }
   const VmId successor = ranking[static_cast<std::size_t>(next)];
-  const Member* const member = fleet_->Find(successor);
-  if (member == nullptr) {
-    co_return;
-  }
-  const Endpoint peer = member->endpoint;
-  HttpRequest request;
-  request.method = "POST";
-  request.path = kWatchPath;
-  request.query = board_.settings.vm.str();
   const Result<HttpResponse> answer =
-      co_await peers_.Send(peer, std::move(request), kPeerTimeout);
+      co_await SendTo(successor, kWatchPath, board_.settings.vm.str(), "");
   if (!answer) {
     board_.log.Write(EventLine("watch-not-handed-over")
                          .With("peer", successor.str())
@@ -392,19 +387,15 @@
 }
 
 Task<bool> ConfigAgent::Push(VmId child, VmId root) {
-  const Member* const member = fleet_->Find(child);
-  if (member == nullptr || !board_.routes) {
+  if (!board_.routes) {
     co_return false;
   }
   const RouteTable* const base =
       recent_.size() > 1 ? recent_[recent_.size() - 2].get() : nullptr;
-  HttpRequest request;
-  request.method = "POST";
-  request.path = kPushPath;
-  request.query = board_.settings.vm.str() + "&" + root.str();
-  request.body = EncodeRouteDelta(MakeRouteDelta(base, *board_.routes));
+  std::string query = board_.settings.vm.str() + "&" + root.str();
+  std::string body = EncodeRouteDelta(MakeRouteDelta(base, *board_.routes));
   const Result<HttpResponse> answer =
-      co_await peers_.Send(member->endpoint, std::move(request), kPeerTimeout);
+      co_await SendTo(child, kPushPath, std::move(query), std::move(body));
   co_return answer.has_value();
 }
 
--- a/modules/cumin_daemon/config_agent.h
+++ b/modules/cumin_daemon/config_agent.h
@@ -88,11 +88,17 @@
   Task<void> RepairForever();
   Task<bool> PullFrom(Endpoint peer);
   bool IsOnDuty();
+  VersionStamp Ours() const;
+  /** Reads the source's text and takes it.
+      @returns whether it was newer than what was in force */
+  bool TakeFromStore(const std::string& text, const char* source);
   bool Take(const RefPtr<const RouteTable>& table, const char* source);
   Result<bool> TakeDelta(const std::string& body, const char* source);
   void SpreadFromHere();
   /** Spreads the version in force as the root of this region's tree. */
   void SpreadAsRoot();
+  Task<Result<HttpResponse>> SendTo(VmId vm, const char* path,
+                                    std::string query, std::string body);
   Task<void> Tell(VmId peer);
   Task<void> AskSuccessorToWatch();
   void PassOn(const VmId& root, const VmId& node);
--- a/modules/cumin_daemon/mesh_metrics.cc
+++ b/modules/cumin_daemon/mesh_metrics.cc
@@ -16,19 +16,11 @@
   return std::chrono::duration<double>(length).count();
 }
 
-std::string Type(const char* name, const char* type) {
-  return std::string("# TYPE ") + name + " " + type + "\n";
-}
-
 std::string Line(const std::string& name, const std::string& labels,
                  std::uint64_t value) {
   return name + "{" + labels + "} " + std::to_string(value) + "\n";
 }
 
-std::string Label(const char* name, const std::string& value) {
-  return std::string(name) + "=\"" + EscapeLabel(value) + "\"";
-}
-
 }  // namespace
 
 const char* ToString(CallHop hop) {
@@ -94,37 +86,48 @@
 }
 
 std::string MeshMetrics::Text() const {
-  std::string text = Type("cumin_answers_total", "counter");
+  std::string text = MetricType("cumin_answers_total", "counter");
   for (const auto& [status, count] : answers_) {
-    text += Line("cumin_answers_total", Label("status", std::to_string(status)),
-                 count);
+    text += Line("cumin_answers_total",
+                 MetricLabel("status", std::to_string(status)), count);
   }
-  text += Type("cumin_calls_total", "counter");
+  text += MetricType("cumin_calls_total", "counter");
   for (const auto& [key, count] : outcomes_) {
     text += Line("cumin_calls_total",
-                 Label("hop", ToString(key.hop)) + "," +
-                     Label("verdict", ToString(key.verdict)) + "," +
-                     Label("reason", ToString(key.reason)),
+                 MetricLabel("hop", ToString(key.hop)) + "," +
+                     MetricLabel("verdict", ToString(key.verdict)) + "," +
+                     MetricLabel("reason", ToString(key.reason)),
                  count);
   }
-  text += Type("cumin_retries_total", "counter");
-  text += Line("cumin_retries_total", Label("allowed", "no"), retries_[0]);
-  text += Line("cumin_retries_total", Label("allowed", "yes"), retries_[1]);
-  text += Type("cumin_store_calls_total", "counter");
+  text += MetricType("cumin_retries_total", "counter");
+  text +=
+      Line("cumin_retries_total", MetricLabel("allowed", "no"), retries_[0]);
+  text +=
+      Line("cumin_retries_total", MetricLabel("allowed", "yes"), retries_[1]);
+  text += MetricType("cumin_store_calls_total", "counter");
   for (const auto& [key, count] : store_calls_) {
     text += Line("cumin_store_calls_total",
-                 Label("kind", key.first) + "," + Label("result", key.second),
+                 MetricLabel("kind", key.first) + "," +
+                     MetricLabel("result", key.second),
                  count);
   }
-  text += Type("cumin_latency_seconds", "histogram");
+  text += MetricType("cumin_latency_seconds", "histogram");
   for (const auto& [key, bins] : latencies_) {
-    text += bins.Text(
-        "cumin_latency_seconds",
-        Label("hop", ToString(key.first)) + "," + Label("route", key.second));
+    text += bins.Text("cumin_latency_seconds",
+                      MetricLabel("hop", ToString(key.first)) + "," +
+                          MetricLabel("route", key.second));
   }
   return text;
 }
 
+std::string MetricType(const char* name, const char* type) {
+  return std::string("# TYPE ") + name + " " + type + "\n";
+}
+
+std::string MetricLabel(const char* name, const std::string& value) {
+  return std::string(name) + "=\"" + EscapeLabel(value) + "\"";
+}
+
 std::string EscapeLabel(const std::string& value) {
   std::string text;
   for (const char c : value) {
--- a/modules/cumin_daemon/mesh_metrics.h
+++ b/modules/cumin_daemon/mesh_metrics.h
@@ -96,6 +96,13 @@
   std::map<std::pair<CallHop, std::string>, LatencyBins> latencies_;
 };
 
+/** @param type  "counter", "gauge" or "histogram"
+    @returns the line that states a metric's type */
+std::string MetricType(const char* name, const char* type);
+
+/** @returns name="value", with the value escaped */
+std::string MetricLabel(const char* name, const std::string& value);
+
 /** @param value  anything
     @returns it as a label's value, with quotes, backslashes and line ends
     escaped */
--- a/modules/cumin_daemon/peer_handler.cc
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -23,8 +23,7 @@
 }
 
 std::string Typed(const char* name, const char* type, std::uint64_t value) {
-  return std::string("# TYPE ") + name + " " + type + "\n" + name + " " +
-         std::to_string(value) + "\n";
+  return MetricType(name, type) + name + " " + std::to_string(value) + "\n";
 }
 
 std::string Gauge(const char* name, std::uint64_t value) {
@@ -123,10 +122,10 @@
 
 HttpResponse PeerHandler::Metrics() const {
   std::string text = board_.metrics.Text();
-  text += "# TYPE cumin_retry_budget gauge\n";
+  text += MetricType("cumin_retry_budget", "gauge");
   for (const auto& [service, budget] : board_.retry_budgets) {
-    text += "cumin_retry_budget{service=\"" + EscapeLabel(service.str()) +
-            "\"} " + std::to_string(budget.left()) + "\n";
+    text += "cumin_retry_budget{" + MetricLabel("service", service.str()) +
+            "} " + std::to_string(budget.left()) + "\n";
   }
   const TargetLoad load = target_.Load();
   text += Gauge("cumin_config_version", config_.InForce());
--- a/modules/cumin_http/http_connection_pool.cc
+++ b/modules/cumin_http/http_connection_pool.cc
@@ -157,8 +157,6 @@
     }
   }
 
-  void CloseIdle(const Endpoint& to) { idle_.erase(to); }
-
   asio::any_io_executor executor_;
   std::uint64_t opened_ = 0;
 
@@ -314,10 +312,6 @@
 
 void HttpConnectionPool::CloseExpired() { implementation_->CloseExpired(); }
 
-void HttpConnectionPool::CloseIdle(const Endpoint& to) {
-  implementation_->CloseIdle(to);
-}
-
 std::uint64_t HttpConnectionPool::opened() const {
   return implementation_->opened_;
 }
--- a/modules/cumin_http/http_connection_pool.h
+++ b/modules/cumin_http/http_connection_pool.h
@@ -97,9 +97,6 @@
   /** Closes the connections that are idle for longer than they may be kept. */
   void CloseExpired();
 
-  /** Closes every idle connection to an endpoint. */
-  void CloseIdle(const Endpoint& to);
-
   /** @returns connections opened so far */
   std::uint64_t opened() const;
 
--- a/modules/cumin_http/http_listener.cc
+++ b/modules/cumin_http/http_listener.cc
@@ -125,8 +125,6 @@
   bool closes_after_answers_ = false;
   int busy_ = 0;
 
-  int open_connections() const { return static_cast<int>(connections_.size()); }
-
  private:
   struct Connection
       : boost::intrusive::list_base_hook<
@@ -325,8 +323,4 @@
 
 int HttpListener::busy_connections() const { return implementation_->busy_; }
 
-int HttpListener::open_connections() const {
-  return implementation_->open_connections();
-}
-
 }  // namespace cumin
--- a/modules/cumin_http/http_listener.h
+++ b/modules/cumin_http/http_listener.h
@@ -101,9 +101,6 @@
   /** @returns connections with a request that is read or worked on */
   int busy_connections() const;
 
-  /** @returns open connections */
-  int open_connections() const;
-
  private:
   class Implementation;
   std::shared_ptr<Implementation> implementation_;
--- a/tests/platform/mesh_process_test.cc
+++ b/tests/platform/mesh_process_test.cc
@@ -111,7 +111,7 @@
  public:
   void setUp() override {
     loop_ = std::make_unique<test::LoopThread>();
-    store_ = std::make_unique<test::PlatformStoreStandin>(loop_->executor());
+    store_ = std::make_unique<test::PlatformStoreStandin>();
     pool_ = std::make_unique<HttpConnectionPool>(loop_->executor());
     SetConfiguration(MakeConfiguration(1, "idempotent"));
   }
--- a/tests/platform/platform_store_test.cc
+++ b/tests/platform/platform_store_test.cc
@@ -25,7 +25,7 @@
  public:
   void setUp() override {
     loop_ = std::make_unique<test::LoopThread>();
-    standin_ = std::make_unique<test::PlatformStoreStandin>(loop_->executor());
+    standin_ = std::make_unique<test::PlatformStoreStandin>();
     listener_ = std::make_unique<HttpListener>(loop_->executor(), *standin_);
     pool_ = std::make_unique<HttpConnectionPool>(loop_->executor());
     store_ = std::make_unique<PlatformStore>(
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -108,6 +108,8 @@
         way->Reset();
         continue;
       }
+      self->ways_.remove_if(
+          [](const std::weak_ptr<Way>& it) { return it.expired(); });
       self->ways_.push_back(way);
       asio::co_spawn(self->executor_, Carry(self, way), asio::detached);
     }
--- a/tests/soak/soak_judge.cc
+++ b/tests/soak/soak_judge.cc
@@ -117,11 +117,7 @@
           " ms at vm" + std::to_string(call.vm));
 }
 
-void SoakJudge::OnHarm(int vm, MonoTime /*now*/) {
-  Harm& harm = harms_[vm];
-  harm.open += 1;
-  harm.was_harmed = true;
-}
+void SoakJudge::OnHarm(int vm) { harms_[vm].open += 1; }
 
 void SoakJudge::OnHarmEnd(int vm, MonoTime now) {
   Harm& harm = harms_[vm];
@@ -159,7 +155,7 @@
 
 bool SoakJudge::WasHarmedSince(int vm, MonoTime since) const {
   const auto found = harms_.find(vm);
-  if (found == harms_.end() || !found->second.was_harmed) {
+  if (found == harms_.end()) {
     return false;
   }
   return found->second.open > 0 ||
--- a/tests/soak/soak_judge.h
+++ b/tests/soak/soak_judge.h
@@ -77,7 +77,7 @@
   void OnClosed(const std::string& attempt, MonoTime now);
 
   /** A VM's process or its link to the target is harmed from now on. */
-  void OnHarm(int vm, MonoTime now);
+  void OnHarm(int vm);
 
   /** One harm of a VM has ended. */
   void OnHarmEnd(int vm, MonoTime now);
@@ -112,7 +112,6 @@
   struct Harm {
     int open = 0;
     MonoTime ended_at;
-    bool was_harmed = false;
   };
   struct Boot {
     int number = 0;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -52,7 +52,6 @@
   SoakRun(const FaultPlan& plan, std::uint64_t seed, std::string folder)
       : faults_(DrawFaults(plan, seed)),
         random_(seed),
-        store_(loop_.get_executor()),
         store_listener_(loop_.get_executor(), store_),
         connections_(loop_.get_executor()),
         world_{loop_.get_executor(),
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -79,7 +79,7 @@
     Send("a", true);
     judge_.OnClosed("a", now_);
     CPPUNIT_ASSERT(judge_.broken().empty());
-    judge_.OnHarm(2, now_);
+    judge_.OnHarm(2);
     judge_.OnHarmEnd(2, now_);
     Send("b", true);
     Run("b", 2);
--- a/tests/soak/soak_vm.cc
+++ b/tests/soak/soak_vm.cc
@@ -63,7 +63,7 @@
 void SoakVm::Kill(Duration down_for) {
   was_told_to_end_ = true;
   if (!was_killed_) {
-    world_.judge.OnHarm(index_, world_.clock.Now());
+    world_.judge.OnHarm(index_);
   }
   was_killed_ = true;
   start_at_ = world_.clock.Now() + down_for;
@@ -77,7 +77,7 @@
 
 Task<void> SoakVm::Pause(Duration length) {
   const int boot = boot_;
-  world_.judge.OnHarm(index_, world_.clock.Now());
+  world_.judge.OnHarm(index_);
   daemon_->Pause();
   co_await SleepFor(length);
   if (boot == boot_) {
@@ -87,7 +87,7 @@
 }
 
 Task<void> SoakVm::SpoilTargetLink(LinkFault fault, Duration length) {
-  world_.judge.OnHarm(index_, world_.clock.Now());
+  world_.judge.OnHarm(index_);
   target_link_->SetFault(fault);
   co_await SleepFor(length);
   target_link_->SetFault(LinkFault::kNone);
--- a/tests/standins/platform_store/platform_store_standin.h
+++ b/tests/standins/platform_store/platform_store_standin.h
@@ -19,10 +19,6 @@
 */
 class PlatformStoreStandin final : public HttpRequestHandler {
  public:
-  /** @param executor  of the loop that it serves on */
-  explicit PlatformStoreStandin(const asio::any_io_executor& executor)
-      : executor_(executor) {}
-
   Task<HttpResponse> Handle(HttpRequest request, CallerWatch& caller) override;
 
   /** Writes a key as the operator does. */
@@ -68,7 +64,6 @@
            std::uint64_t lease);
   void Remove(const std::string& key);
 
-  asio::any_io_executor executor_;
   std::map<std::string, Item> items_;
   std::vector<Change> changes_;
   std::map<std::uint64_t, bool> leases_;
