Metrics and log lines that tell the incident's hypotheses apart

Per daemon: pushes taken and failed (with a line push-failed: peer, bytes, time), bytes of large and small answers to peers, connections that could not be opened, the newest version heard and the link's rate by the settings. A refused unknown route says the newest version heard and the age of the store's last word. No decision changes.

--- a/modules/cumin_daemon/config_agent.cc
+++ b/modules/cumin_daemon/config_agent.cc
@@ -37,8 +37,7 @@
       anti_entropy_(AntiEntropySettings{}),
       readiness_(kPeersToBeReady),
       backoff_(kStoreBackoff),
-      in_force_since_(board.clock.Now()),
-      store_heard_(board.clock.Now()) {}
+      in_force_since_(board.clock.Now()) {}
 
 void ConfigAgent::Start(FleetAgent& fleet) {
   fleet_ = &fleet;
@@ -78,6 +77,7 @@
 }
 
 void ConfigAgent::OnTold(const VmId& from, std::uint64_t version) {
+  HearOf(version);
   VersionStamp theirs;
   theirs.version = version;
   // The contents are compared when they are pulled.
@@ -120,6 +120,7 @@
 
 void ConfigAgent::OnMessage(const GossipMessage& message) {
   const MonoTime now = board_.clock.Now();
+  HearOf(message.in_force.version);
   readiness_.HearPeer(message.from, message.in_force.version);
   const Result<void> noted = anti_entropy_.OnPeerVersion(
       message.from, message.in_force, Ours(), now, board_.random);
@@ -129,14 +130,15 @@
   }
   const Member* const peer = fleet_->Find(message.from);
   if (peer != nullptr && peer->region == board_.settings.region) {
-    store_heard_ = std::max(store_heard_, now - message.store_quiet);
+    board_.store_heard =
+        std::max(board_.store_heard, now - message.store_quiet);
   }
   CheckReady();
 }
 
 Duration ConfigAgent::StoreQuiet() const {
   return std::max<Duration>(Duration::zero(),
-                            board_.clock.Now() - store_heard_);
+                            board_.clock.Now() - board_.store_heard);
 }
 
 Task<void> ConfigAgent::WatchForever() {
@@ -150,7 +152,7 @@
       backoff_.Reset();
       co_await SleepFor(kCoalesce);
     } else {
-      store_heard_ = std::min(store_heard_, board_.clock.Now());
+      board_.store_heard = std::min(board_.store_heard, board_.clock.Now());
       asio::co_spawn(board_.executor, AskSuccessorToWatch(), asio::detached);
       co_await SleepFor(backoff_.Next(board_.random));
     }
@@ -168,7 +170,7 @@
     }
     co_return true;
   }
-  store_heard_ = board_.clock.Now() + kWatchLength;
+  board_.store_heard = board_.clock.Now() + kWatchLength;
   const Result<StoreItems> changes =
       co_await store_.Watch(source_.key(), watched_revision_, kWatchLength);
   if (!changes) {
@@ -260,6 +262,7 @@
           .With("before", static_cast<std::int64_t>(InForce()))
           .With("routes", static_cast<std::int64_t>(table->routes().size()))
           .With("source", source));
+  HearOf(table->version());
   board_.routes = table;
   in_force_since_ = board_.clock.Now();
   recent_.push_back(table);
@@ -294,6 +297,10 @@
   return Take(table.value(), source);
 }
 
+void ConfigAgent::HearOf(std::uint64_t version) {
+  board_.newest_heard = std::max(board_.newest_heard, version);
+}
+
 void ConfigAgent::SpreadFromHere() {
   const std::vector<VmId>& ranking =
       fleet_->Plan().FetcherRanking(board_.settings.region);
@@ -394,8 +401,20 @@
       recent_.size() > 1 ? recent_[recent_.size() - 2].get() : nullptr;
   std::string query = board_.settings.vm.str() + "&" + root.str();
   std::string body = EncodeRouteDelta(MakeRouteDelta(base, *board_.routes));
+  const MonoTime sent_at = board_.clock.Now();
+  const std::uint64_t version = InForce();
+  const auto n = static_cast<std::int64_t>(body.size());
   const Result<HttpResponse> answer =
       co_await SendTo(child, kPushPath, std::move(query), std::move(body));
+  board_.metrics.CountPush(answer ? "taken" : "failed");
+  if (!answer) {
+    board_.log.Write(EventLine("push-failed")
+                         .With("peer", child.str())
+                         .With("version", static_cast<std::int64_t>(version))
+                         .With("bytes", n)
+                         .With("after_ms", board_.clock.Now() - sent_at)
+                         .With("error", Describe(answer.error())));
+  }
   co_return answer.has_value();
 }
 
--- a/modules/cumin_daemon/config_agent.h
+++ b/modules/cumin_daemon/config_agent.h
@@ -106,6 +106,8 @@
   Task<void> PushTo(VmId child, VmId root);
   Task<bool> Push(VmId child, VmId root);
   void CheckReady();
+  /** Somebody has this version, or had it. */
+  void HearOf(std::uint64_t version);
 
   MeshBoard& board_;
   PeerClient& peers_;
@@ -119,8 +121,6 @@
   /** Earlier versions, to make deltas from; the newest last. */
   std::deque<RefPtr<const RouteTable>> recent_;
   MonoTime in_force_since_;
-  /** In the future while this daemon's own watch is in order. */
-  MonoTime store_heard_;
   std::uint64_t watched_revision_ = 0;
   std::function<void()> on_change_;
 };
--- a/modules/cumin_daemon/ingress.cc
+++ b/modules/cumin_daemon/ingress.cc
@@ -95,13 +95,15 @@
   const std::string host = HostOf(request);
   const Route* const route = routes->Find(host, request.path);
   if (route == nullptr) {
-    story.Add(
-        EventLine("ingress-refused")
-            .With("reason", "unknown-route")
-            .With("host", host)
-            .With("path", request.path)
-            .With("version", static_cast<std::int64_t>(routes->version())),
-        arrived);
+    story.Add(EventLine("ingress-refused")
+                  .With("reason", "unknown-route")
+                  .With("host", host)
+                  .With("path", request.path)
+                  .With("version", static_cast<std::int64_t>(routes->version()))
+                  .With("newest_heard",
+                        static_cast<std::int64_t>(board_.newest_heard))
+                  .With("store_quiet_ms", arrived - board_.store_heard),
+              arrived);
     co_return Refuse(kNotFound, "no route for this host and path");
   }
   const Result<MeshCall> call = MakeCall(std::move(request), *route);
--- a/modules/cumin_daemon/mesh_board.h
+++ b/modules/cumin_daemon/mesh_board.h
@@ -35,6 +35,11 @@
   HttpConnectionPool connections;
   /** The routes in force; null before the first version. */
   RefPtr<const RouteTable> routes;
+  /** The newest version that a peer or the store was heard to have. */
+  std::uint64_t newest_heard = 0;
+  /** When somebody of this region last heard the store; in the future while
+      this daemon's own watch is in order. */
+  MonoTime store_heard;
   AnnouncementBook announcements;
   TargetChooser chooser;
   /** By service. */
--- a/modules/cumin_daemon/mesh_metrics.cc
+++ b/modules/cumin_daemon/mesh_metrics.cc
@@ -12,6 +12,9 @@
 constexpr double kEdgesS[] = {0,   0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
                               0.1, 0.2,   0.5,   1,     2,    5,    10};
 
+/** A longer body delays what stands behind it on a thin link noticeably. */
+constexpr std::size_t kLargeAnswerBytes = std::size_t{16} * 1024;
+
 double ToSeconds(Duration length) {
   return std::chrono::duration<double>(length).count();
 }
@@ -80,6 +83,12 @@
   store_calls_[{kind, result}] += 1;
 }
 
+void MeshMetrics::CountPush(const char* result) { pushes_[result] += 1; }
+
+void MeshMetrics::CountPeerAnswer(std::size_t n) {
+  peer_answer_bytes_[n > kLargeAnswerBytes ? 1 : 0] += n;
+}
+
 void MeshMetrics::Observe(CallHop hop, const std::string& route,
                           Duration latency) {
   latencies_[{hop, route}].Observe(latency);
@@ -111,6 +120,16 @@
                      MetricLabel("result", key.second),
                  count);
   }
+  text += MetricType("cumin_config_pushes_total", "counter");
+  for (const auto& [result, count] : pushes_) {
+    text +=
+        Line("cumin_config_pushes_total", MetricLabel("result", result), count);
+  }
+  text += MetricType("cumin_peer_answer_bytes_total", "counter");
+  text += Line("cumin_peer_answer_bytes_total", MetricLabel("size", "small"),
+               peer_answer_bytes_[0]);
+  text += Line("cumin_peer_answer_bytes_total", MetricLabel("size", "large"),
+               peer_answer_bytes_[1]);
   text += MetricType("cumin_latency_seconds", "histogram");
   for (const auto& [key, bins] : latencies_) {
     text += bins.Text("cumin_latency_seconds",
--- a/modules/cumin_daemon/mesh_metrics.h
+++ b/modules/cumin_daemon/mesh_metrics.h
@@ -71,6 +71,14 @@
       @param result  its error's name, or "ok" */
   void CountStoreCall(const char* kind, const char* result);
 
+  /** Counts a version handed to a peer.
+      @param result  "taken" or "failed" */
+  void CountPush(const char* result);
+
+  /** Counts the body of an answer to another daemon, by whether it is large.
+      @param n  bytes */
+  void CountPeerAnswer(std::size_t n);
+
   /** Notes the time that a call spent at a hop. */
   void Observe(CallHop hop, const std::string& route, Duration latency);
 
@@ -93,6 +101,8 @@
   std::map<OutcomeKey, std::uint64_t> outcomes_;
   std::array<std::uint64_t, 2> retries_{};
   std::map<std::pair<std::string, std::string>, std::uint64_t> store_calls_;
+  std::map<std::string, std::uint64_t> pushes_;
+  std::array<std::uint64_t, 2> peer_answer_bytes_{};
   std::map<std::pair<CallHop, std::string>, LatencyBins> latencies_;
 };
 
--- a/modules/cumin_daemon/mesh_settings.cc
+++ b/modules/cumin_daemon/mesh_settings.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double kMaxSeconds = 3600;
+constexpr double kMaxLinkMbps = 1e6;
 
 Endpoint ReadEndpoint(YamlObject& root, const std::string& field) {
   const Result<Endpoint> endpoint = ParseEndpoint(root.RequiredString(field));
@@ -50,6 +51,8 @@
       ReadSeconds(root, "leave_limit_s", settings.leave_limit);
   settings.grace = ReadSeconds(root, "grace_s", settings.grace);
   settings.retry_ratio = root.Number("retry_ratio", settings.retry_ratio, 0, 1);
+  settings.link_mbps =
+      root.Number("link_mbps", settings.link_mbps, 0, kMaxLinkMbps);
   const Result<void> checked = root.Finish();
   if (!checked) {
     return checked.error();
--- a/modules/cumin_daemon/mesh_settings.h
+++ b/modules/cumin_daemon/mesh_settings.h
@@ -35,6 +35,8 @@
   Duration grace{std::chrono::seconds(6)};
   /** Retries of all daemons stay below this part of a service's calls. */
   double retry_ratio = 0.2;
+  /** Rate of this VM's link in megabits a second; 0 when unknown. */
+  double link_mbps = 0;
 
   friend bool operator==(const MeshSettings& a, const MeshSettings& b) {
     return a.vm == b.vm && a.region == b.region &&
@@ -44,7 +46,7 @@
            a.service == b.service && a.store == b.store &&
            a.announce_interval == b.announce_interval &&
            a.leave_limit == b.leave_limit && a.grace == b.grace &&
-           a.retry_ratio == b.retry_ratio;
+           a.retry_ratio == b.retry_ratio && a.link_mbps == b.link_mbps;
   }
 };
 
--- a/modules/cumin_daemon/peer_handler.cc
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -85,7 +85,10 @@
   if (!call) {
     co_return Plain(kBadRequest, Describe(call.error()));
   }
-  co_return EncodeOutcome(co_await target_.Run(call.value(), caller));
+  HttpResponse answer =
+      EncodeOutcome(co_await target_.Run(call.value(), caller));
+  board_.metrics.CountPeerAnswer(answer.body.size());
+  co_return answer;
 }
 
 HttpResponse PeerHandler::Forbid(const std::string& attempt) {
@@ -120,6 +123,12 @@
   return Plain(200, "");
 }
 
+std::uint64_t PeerHandler::LinkBytesPerSecond() const {
+  constexpr double kBytesPerMegabit = 1e6 / 8;
+  return static_cast<std::uint64_t>(board_.settings.link_mbps *
+                                    kBytesPerMegabit);
+}
+
 HttpResponse PeerHandler::Metrics() const {
   std::string text = board_.metrics.Text();
   text += MetricType("cumin_retry_budget", "gauge");
@@ -137,6 +146,9 @@
   text += Gauge("cumin_memory_allocated_bytes", mallinfo2().uordblks);
   text += Total("cumin_log_lines_dropped_total", board_.log.dropped());
   text += Total("cumin_connections_opened_total", board_.connections.opened());
+  text += Total("cumin_connections_failed_total", board_.connections.failed());
+  text += Gauge("cumin_config_newest_heard", board_.newest_heard);
+  text += Gauge("cumin_link_bytes_per_second", LinkBytesPerSecond());
   return Plain(200, text);
 }
 
--- a/modules/cumin_daemon/peer_handler.h
+++ b/modules/cumin_daemon/peer_handler.h
@@ -23,6 +23,8 @@
   Task<HttpResponse> Push(HttpRequest request);
   HttpResponse Tell(const std::string& query);
   HttpResponse Metrics() const;
+  /** @returns 0 when unknown */
+  std::uint64_t LinkBytesPerSecond() const;
 
   MeshBoard& board_;
   TargetPort& target_;
--- a/modules/cumin_daemon/target_port.cc
+++ b/modules/cumin_daemon/target_port.cc
@@ -71,7 +71,8 @@
     line.With("reason", ToString(outcome.refusal.reason))
         .With("detail", outcome.refusal.detail);
   } else {
-    line.With("status", outcome.response.status);
+    line.With("status", outcome.response.status)
+        .With("bytes", static_cast<std::int64_t>(outcome.response.body.size()));
   }
   story.Add(line, board_.clock.Now());
   story.Close(failed);
--- a/modules/cumin_http/http_connection_pool.cc
+++ b/modules/cumin_http/http_connection_pool.cc
@@ -159,6 +159,7 @@
 
   asio::any_io_executor executor_;
   std::uint64_t opened_ = 0;
+  std::uint64_t failed_ = 0;
 
  private:
   static bool IsExpired(Connection& connection, SteadyTime now) {
@@ -280,6 +281,7 @@
     co_await stream.async_connect(
         ToTcp(to), asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
+      implementation_->failed_ += 1;
       co_return Failed(ExchangeEnd::kNotSent,
                        "cannot connect: " + ec.message());
     }
@@ -316,4 +318,8 @@
   return implementation_->opened_;
 }
 
+std::uint64_t HttpConnectionPool::failed() const {
+  return implementation_->failed_;
+}
+
 }  // namespace cumin
--- a/modules/cumin_http/http_connection_pool.h
+++ b/modules/cumin_http/http_connection_pool.h
@@ -100,6 +100,9 @@
   /** @returns connections opened so far */
   std::uint64_t opened() const;
 
+  /** @returns connections that could not be opened, or not in time */
+  std::uint64_t failed() const;
+
  private:
   class Implementation;
   std::unique_ptr<Implementation> implementation_;
--- a/tests/daemon/mesh_metrics_test.cc
+++ b/tests/daemon/mesh_metrics_test.cc
@@ -22,6 +22,9 @@
                          RefusalReason::kShed);
     metrics.CountRetry(false);
     metrics.CountStoreCall("watch", "unavailable");
+    metrics.CountPush("failed");
+    metrics.CountPeerAnswer(100);
+    metrics.CountPeerAnswer(90000);
     const std::string page = metrics.Text();
     for (const char* const it :
          {"# TYPE cumin_answers_total counter\n",
@@ -29,6 +32,9 @@
           "cumin_calls_total{hop=\"target\",verdict=\"not-run\","
           "reason=\"shed\"} 1\n",
           "cumin_retries_total{allowed=\"no\"} 1\n",
+          "cumin_config_pushes_total{result=\"failed\"} 1\n",
+          "cumin_peer_answer_bytes_total{size=\"small\"} 100\n",
+          "cumin_peer_answer_bytes_total{size=\"large\"} 90000\n",
           "cumin_store_calls_total{kind=\"watch\",result=\"unavailable\"} "
           "1\n"}) {
       CPPUNIT_ASSERT_MESSAGE(it, page.find(it) != std::string::npos);
