--- /dev/null
+++ b/tests/platform/mesh_fixture.h
@@ -0,0 +1,269 @@
+#pragma once
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <atomic>
+#include <fstream>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "cumin_http/http_connection_pool.h"
+#include "cumin_http/http_listener.h"
+#include "standins/platform_store/platform_store_standin.h"
+#include "standins/platform_store/platform_texts.h"
+#include "support/child_process.h"
+#include "support/loop_thread.h"
+#include "support/loopback.h"
+#include "support/temp_dir.h"
+
+namespace cumin::platform {
+
+/** Plays a target: answers with the digest and says what it was asked. */
+class TargetHandler final : public HttpRequestHandler {
+ public:
+  Task<HttpResponse> Handle(HttpRequest request,
+                            CallerWatch& /*caller*/) override {
+    runs += 1;
+    last = request;
+    if (work > Duration::zero()) {
+      co_await SleepFor(work);
+    }
+    HttpResponse response;
+    response.headers.Set("X-Attempt-Id", request.headers.Get("X-Attempt-Id"));
+    response.headers.Set("X-Response-Signature", "s");
+    response.body = request.path + "|" + request.body;
+    response.body.resize(std::max(response.body.size(), min_answer_bytes));
+    co_return response;
+  }
+
+  int runs = 0;
+  Duration work{0};
+  std::size_t min_answer_bytes = 0;
+  HttpRequest last;
+};
+
+/** The way of one VM to the store, which can be closed. */
+class StoreWay final : public HttpRequestHandler {
+ public:
+  explicit StoreWay(HttpRequestHandler& store) : store_(store) {}
+
+  Task<HttpResponse> Handle(HttpRequest request, CallerWatch& caller) override {
+    const bool is_watch = request.path == "/kv-watch";
+    HttpResponse refusal;
+    refusal.status = 503;
+    if (is_closed) {
+      co_return refusal;
+    }
+    watches += is_watch ? 1 : 0;
+    HttpResponse answer = co_await store_.Handle(std::move(request), caller);
+    watches -= is_watch ? 1 : 0;
+    if (is_closed) {
+      co_return refusal;
+    }
+    co_return answer;
+  }
+
+  bool is_closed = false;
+  /** Watches under way. */
+  int watches = 0;
+
+ private:
+  HttpRequestHandler& store_;
+};
+
+/** One VM: a target played here and the daemon's process. */
+struct Vm {
+  test::VmAddresses addresses;
+  std::unique_ptr<StoreWay> store_way;
+  std::unique_ptr<HttpListener> store_listener;
+  TargetHandler handler;
+  std::unique_ptr<HttpListener> listener;
+  std::unique_ptr<test::ChildProcess> daemon;
+};
+
+/** Daemons as processes, with targets and the store played here. */
+class MeshFixture : public CppUnit::TestFixture {
+ public:
+  void setUp() override {
+    loop_ = std::make_unique<test::LoopThread>();
+    store_ = std::make_unique<test::PlatformStoreStandin>();
+    pool_ = std::make_unique<HttpConnectionPool>(loop_->executor());
+    SetConfiguration(MakeConfiguration(1, "idempotent"));
+  }
+
+  void tearDown() override {
+    loop_->Stop();
+    vms_.clear();
+    pool_.reset();
+    loop_.reset();
+  }
+
+ protected:
+  static constexpr char kAttempt[] = "X-Attempt-Id";
+  static constexpr Duration kCallTimeout = std::chrono::seconds(10);
+  /** Longer than any test, so that no target is taken for gone. */
+  static constexpr int kAnnounceIntervalS = 1000;
+
+  static std::string MakeConfiguration(int version, const std::string& kind) {
+    return test::MakeConfigurationText(
+        version, {{"r", "/p" + std::to_string(version) + "/", kind, "svc"}});
+  }
+
+  void SetConfiguration(const std::string& text) {
+    loop_->Post([&] { store_->Put("op/config", text); });
+  }
+
+  /** @returns a number of the metrics page */
+  int Metric(const Vm& vm, const std::string& name) {
+    HttpRequest request;
+    request.path = "/-/metrics";
+    const std::string text = "\n" + Send(vm.addresses.peers, request).body;
+    const std::size_t at = text.find("\n" + name + " ");
+    return at == std::string::npos
+               ? -1
+               : std::stoi(text.substr(at + name.size() + 2));
+  }
+
+  void StartVm(const std::string& service,
+               const std::optional<Endpoint>& peers = std::nullopt,
+               const std::string& region = "r") {
+    auto vm = std::make_unique<Vm>();
+    test::VmAddresses& addresses = vm->addresses;
+    addresses.vm = "vm" + std::to_string(vms_.size());
+    addresses.region = region;
+    addresses.failure_domain = "z";
+    const std::string own = test::OwnAddress(static_cast<int>(vms_.size()));
+    addresses.callers = test::FreeEndpoint(own);
+    addresses.peers = peers ? *peers : test::FreeEndpoint(own);
+    addresses.readiness = test::FreeEndpoint(own);
+    addresses.announcements = test::FreeEndpoint(own);
+    addresses.service = service;
+    vm->listener =
+        std::make_unique<HttpListener>(loop_->executor(), vm->handler);
+    vm->store_way = std::make_unique<StoreWay>(*store_);
+    vm->store_listener =
+        std::make_unique<HttpListener>(loop_->executor(), *vm->store_way);
+    loop_->Post([&] {
+      const Endpoint any{"127.0.0.1", 0};
+      addresses.target = vm->listener->Start(any).value();
+      addresses.store = vm->store_listener->Start(any).value();
+    });
+    std::ofstream(dir_.File(addresses.vm + ".yaml"))
+        << test::MakeSettingsText(addresses, kAnnounceIntervalS)
+        << more_settings_;
+    StartDaemon(*vm);
+    vms_.push_back(std::move(vm));
+    AwaitReady(*vms_.back());
+  }
+
+  void StartDaemon(Vm& vm) {
+    vm.daemon = test::ChildProcess::Start(
+                    {test::ProgramPath("platform/cumind_platform"),
+                     dir_.File(vm.addresses.vm + ".yaml")},
+                    dir_.File(vm.addresses.vm + ".out"))
+                    .value();
+  }
+
+  HttpResponse Send(const Endpoint& to, const HttpRequest& request) {
+    ExchangeOptions options;
+    options.timeout = kCallTimeout;
+    options.max_idle = Duration::zero();
+    ExchangeResult result = loop_->Run(pool_->Exchange(to, request, options));
+    if (result.end != ExchangeEnd::kAnswered) {
+      result.response.status = 0;
+    }
+    return result.response;
+  }
+
+  HttpResponse Call(const Vm& vm, const std::string& target) {
+    HttpRequest request;
+    request.method = "POST";
+    request.path = target.substr(0, target.find('?'));
+    request.query =
+        target.substr(std::min(target.size(), request.path.size() + 1));
+    request.headers.Set("Host", "shop.example");
+    request.headers.Set(kAttempt, "attempt-" + std::to_string(next_attempt_++));
+    request.headers.Set("X-Deadline-Ms", "5000");
+    request.headers.Set("X-Caller-Service", "forged");
+    request.body = "body";
+    return Send(vm.addresses.callers, request);
+  }
+
+  int Announce(const Vm& vm, const std::string& state, int sequence) {
+    const std::string instance = "i-" + vm.addresses.vm;
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = test::AnnouncementPath(instance);
+    request.body = test::MakeAnnouncementText(
+        vm.addresses, test::AnnouncementText{instance, state, sequence});
+    return Send(vm.addresses.announcements, request).status;
+  }
+
+  /** Calls until the status comes; before news has spread, others may. */
+  HttpResponse AwaitAnswer(const Vm& vm, const std::string& target,
+                           int status) {
+    HttpResponse answer = Call(vm, target);
+    while (answer.status != status) {
+      Pause();
+      answer = Call(vm, target);
+    }
+    return answer;
+  }
+
+  void AwaitReady(const Vm& vm) {
+    HttpRequest request;
+    request.path = "/readyz";
+    while (Send(vm.addresses.readiness, request).status != 200) {
+      Pause();
+    }
+  }
+
+  /** Waits until the two watchers of each region hold a watch and nobody else
+      does; daemons that started before they knew the others hold theirs until
+      it runs out. */
+  void AwaitWatches() {
+    std::set<std::string> regions;
+    for (const auto& it : vms_) {
+      regions.insert(it->addresses.region);
+    }
+    const int expected = 2 * static_cast<int>(regions.size());
+    int watches = 0;
+    while (watches != expected) {
+      Pause();
+      loop_->Post([&] {
+        watches = 0;
+        for (const auto& it : vms_) {
+          watches += it->store_way->watches > 0 ? 1 : 0;
+        }
+      });
+    }
+  }
+
+  void AwaitKey(const std::string& key) {
+    bool has_key = false;
+    while (!has_key) {
+      Pause();
+      loop_->Post([&] { has_key = store_->Has(key); });
+    }
+  }
+
+  static void Pause() {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+
+  test::TempDir dir_;
+  std::unique_ptr<test::LoopThread> loop_;
+  std::unique_ptr<test::PlatformStoreStandin> store_;
+  std::unique_ptr<HttpConnectionPool> pool_;
+  std::vector<std::unique_ptr<Vm>> vms_;
+  /** Lines for the settings of the VMs that are started from here on. */
+  std::string more_settings_;
+  std::atomic<int> next_attempt_{0};
+};
+
+}  // namespace cumin::platform
