Failing test: large answers are handed to a thin link all at once

Two daemons as processes, the owner's link set to 1 Mbit/s: six calls for 200 kB each are all run and handed to the link within milliseconds, where the link takes 9.6 s.

--- /dev/null
+++ b/tests/platform/thin_link_test.cc
@@ -0,0 +1,60 @@
+#include <future>
+
+#include "platform/mesh_fixture.h"
+
+namespace cumin::platform {
+
+namespace {
+
+constexpr double kLinkMbps = 1;
+constexpr double kBytesPerMegabit = 1e6 / 8;
+constexpr std::size_t kAnswerBytes = 200000;
+/** The link takes twice as long for these as their callers wait. */
+constexpr int kCalls = 6;
+
+class ThinLinkTest : public MeshFixture {
+  CPPUNIT_TEST_SUITE(ThinLinkTest);
+  CPPUNIT_TEST(TestLargeAnswersAreHandedToTheLinkAtItsRate);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against issue 17: large answers filled the link of a VM, and
+  // versions, hand-shakes and hang-ups waited behind them for seconds.
+  void TestLargeAnswersAreHandedToTheLinkAtItsRate() {
+    more_settings_ = "link_mbps: 1\n";
+    StartVm("svc");
+    StartVm("caller");
+    Announce(*vms_[0], "ready", 1);
+    AwaitAnswer(*vms_[1], "/p1/", 200);
+    loop_->Post([this] { vms_[0]->handler.min_answer_bytes = kAnswerBytes; });
+    // From this one the daemon learns how large the answers are.
+    AwaitAnswer(*vms_[1], "/p1/", 200);
+    const auto began = std::chrono::steady_clock::now();
+    std::vector<std::future<HttpResponse>> calls;
+    for (int i = 0; i < kCalls; ++i) {
+      calls.push_back(std::async(std::launch::async,
+                                 [this] { return Call(*vms_[1], "/p1/"); }));
+    }
+    double bytes = 0;
+    for (std::future<HttpResponse>& it : calls) {
+      const HttpResponse answer = it.get();
+      CPPUNIT_ASSERT(answer.status == 200 || answer.status == 503);
+      if (answer.status == 200) {
+        CPPUNIT_ASSERT_EQUAL(kAnswerBytes, answer.body.size());
+        bytes += static_cast<double>(answer.body.size());
+      } else {
+        CPPUNIT_ASSERT(answer.headers.Has("Retry-After"));
+      }
+    }
+    const std::chrono::duration<double> elapsed =
+        std::chrono::steady_clock::now() - began;
+    CPPUNIT_ASSERT(bytes > 0);
+    CPPUNIT_ASSERT(bytes <= elapsed.count() * kLinkMbps * kBytesPerMegabit);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ThinLinkTest);
+
+}  // namespace
+
+}  // namespace cumin::platform
