Changes of the configuration travel compressed and are encoded once

Cause: a change of 1,200 routes is 142 kB of JSON. Each node of the spread tree pushes it to four children over a link of 7 Mbit/s, most of which large answers use; that takes longer than the second that a push may take. A parent whose push failed passes the change on to the child's children, so each failure sent another four copies: congestion that feeds itself.

Ruled out: watches of the store (6 daemons took version 14 from it, as planned; 25 took version 6, after the start of the whole fleet).

Fix: the change is compressed with zlib, once for each version that it starts from, and the bytes are shared by all pushes and pulls. What a peer sends is read up to 16 MiB of text.

ThinLinkTest::TestWholeConfigurationFitsBesideLargeAnswers failed before.

Daemons of an earlier build can't read the changes of this one, nor the other way round: during a roll-out from one to the other, those that don't watch the store get no changes until they are of the same build.

--- a/modules/cumin_core/cumin_core.h
+++ b/modules/cumin_core/cumin_core.h
@@ -10,6 +10,7 @@
     OpenTracing, OpenSSL (digests).
 */
 
+#include "cumin_core/compression.h"
 #include "cumin_core/digest.h"
 #include "cumin_core/endpoint.h"
 #include "cumin_core/error.h"
--- a/modules/cumin_daemon/config_agent.cc
+++ b/modules/cumin_daemon/config_agent.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cumin_core/compression.h"
+
 namespace cumin {
 
 namespace {
@@ -10,6 +12,9 @@
 constexpr std::size_t kPeersToBeReady = 3;
 /** Versions kept to make deltas from. */
 constexpr std::size_t kRecentVersions = 4;
+/** Of a change between daemons as text; the largest configuration is shorter.
+ */
+constexpr std::size_t kMaxDeltaBytes = std::size_t{16} << 20U;
 constexpr Duration kWatchLength = std::chrono::seconds(10);
 /** Changes in quick succession are taken together: the store is asked again
     this long after a change. Well below the time for a version to be in force
@@ -90,17 +95,25 @@
   rotation_.OnAsked(board_.clock.Now());
 }
 
-std::string ConfigAgent::OnPull(std::uint64_t have) const {
+std::string ConfigAgent::OnPull(std::uint64_t have) {
   if (!board_.routes || board_.routes->version() <= have) {
     return "";
   }
+  return DeltaFrom(have);
+}
+
+const std::string& ConfigAgent::DeltaFrom(std::uint64_t version) {
   const RouteTable* base = nullptr;
   for (const RefPtr<const RouteTable>& it : recent_) {
-    if (it->version() == have) {
+    if (it->version() == version) {
       base = it.get();
     }
   }
-  return EncodeRouteDelta(MakeRouteDelta(base, *board_.routes));
+  std::string& bytes = deltas_[base == nullptr ? 0 : version];
+  if (bytes.empty()) {
+    bytes = Compress(EncodeRouteDelta(MakeRouteDelta(base, *board_.routes)));
+  }
+  return bytes;
 }
 
 std::uint64_t ConfigAgent::InForce() const {
@@ -264,6 +277,7 @@
           .With("source", source));
   HearOf(table->version());
   board_.routes = table;
+  deltas_.clear();
   in_force_since_ = board_.clock.Now();
   recent_.push_back(table);
   if (recent_.size() > kRecentVersions) {
@@ -278,7 +292,11 @@
 
 Result<bool> ConfigAgent::TakeDelta(const std::string& body,
                                     const char* source) {
-  const Result<RouteDelta> delta = DecodeRouteDelta(body, source);
+  const Result<std::string> text = Decompress(body, kMaxDeltaBytes, source);
+  if (!text) {
+    return text.error();
+  }
+  const Result<RouteDelta> delta = DecodeRouteDelta(text.value(), source);
   if (!delta) {
     return delta.error();
   }
@@ -397,10 +415,10 @@
   if (!board_.routes) {
     co_return false;
   }
-  const RouteTable* const base =
-      recent_.size() > 1 ? recent_[recent_.size() - 2].get() : nullptr;
+  const std::uint64_t before =
+      recent_.size() > 1 ? recent_[recent_.size() - 2]->version() : 0;
   std::string query = board_.settings.vm.str() + "&" + root.str();
-  std::string body = EncodeRouteDelta(MakeRouteDelta(base, *board_.routes));
+  std::string body = DeltaFrom(before);
   const MonoTime sent_at = board_.clock.Now();
   const std::uint64_t version = InForce();
   const auto n = static_cast<std::int64_t>(body.size());
--- a/modules/cumin_daemon/config_agent.h
+++ b/modules/cumin_daemon/config_agent.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <string>
 
 #include "cumin_config/readiness_rule.h"
@@ -53,12 +54,13 @@
   /** Takes a change that a peer passed on.
       @param from  the peer
       @param root  where the change entered the region
-      @param body  a RouteDelta */
+      @param body  a compressed RouteDelta */
   Task<bool> OnPush(VmId from, VmId root, std::string body);
 
   /** @param have  the version that the asker has
-      @returns a RouteDelta from there, or empty when nothing is newer */
-  std::string OnPull(std::uint64_t have) const;
+      @returns a compressed RouteDelta from there, or empty when nothing is
+      newer */
+  std::string OnPull(std::uint64_t have);
 
   /** A daemon of another region has this version. */
   void OnTold(const VmId& from, std::uint64_t version);
@@ -106,6 +108,10 @@
   Task<void> PushTo(VmId child, VmId root);
   Task<bool> Push(VmId child, VmId root);
   void CheckReady();
+  /** @param version  from which the change starts, if it is a recent one
+      @returns the change to the version in force, compressed; the whole table
+      when the version is not recent */
+  const std::string& DeltaFrom(std::uint64_t version);
   /** Somebody has this version, or had it. */
   void HearOf(std::uint64_t version);
 
@@ -120,6 +126,9 @@
   RetryBackoff backoff_;
   /** Earlier versions, to make deltas from; the newest last. */
   std::deque<RefPtr<const RouteTable>> recent_;
+  /** Compressed changes to the version in force, by where they start; the same
+      one goes to several peers. */
+  std::map<std::uint64_t, std::string> deltas_;
   MonoTime in_force_since_;
   std::uint64_t watched_revision_ = 0;
   std::function<void()> on_change_;
--- /dev/null
+++ b/tests/core/compression_test.cc
@@ -0,0 +1,63 @@
+#include "cumin_core/compression.h"
+
+#include "support/property.h"
+
+namespace cumin {
+
+namespace {
+
+constexpr std::size_t kMaxBytes = 100000;
+
+class CompressionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CompressionTest);
+  CPPUNIT_TEST(TestRoundTrip);
+  CPPUNIT_TEST(TestAlikeTextShrinks);
+  CPPUNIT_TEST(TestCutOrLengthenedBytesAreRefused);
+  CPPUNIT_TEST(TestTextBeyondTheLimitIsRefused);
+  CPPUNIT_TEST(TestAnyBytesAreReadOrRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TestRoundTrip() {
+    test::CheckProperty("compression round trip", [](const std::string& text) {
+      const auto read = Decompress(Compress(text), kMaxBytes, "t");
+      RC_ASSERT(read);
+      RC_ASSERT(read.value() == text);
+    });
+  }
+
+  void TestAlikeTextShrinks() {
+    std::string text;
+    while (text.size() < kMaxBytes / 2) {
+      text += "{\"n\":\"r" + std::to_string(text.size()) + "\",\"k\":0}";
+    }
+    CPPUNIT_ASSERT(Compress(text).size() < text.size() / 4);
+  }
+
+  void TestCutOrLengthenedBytesAreRefused() {
+    const std::string whole = Compress("route route route route");
+    for (std::size_t n = 0; n < whole.size(); ++n) {
+      CPPUNIT_ASSERT(!Decompress(whole.substr(0, n), kMaxBytes, "t"));
+    }
+    CPPUNIT_ASSERT(!Decompress(whole + "x", kMaxBytes, "t"));
+  }
+
+  void TestTextBeyondTheLimitIsRefused() {
+    const std::string bytes = Compress(std::string(kMaxBytes + 1, 'x'));
+    CPPUNIT_ASSERT(!Decompress(bytes, kMaxBytes, "t"));
+    CPPUNIT_ASSERT(Decompress(bytes, kMaxBytes + 1, "t"));
+  }
+
+  void TestAnyBytesAreReadOrRefused() {
+    test::CheckProperty("any bytes", [](const std::string& bytes) {
+      const auto read = Decompress(bytes, kMaxBytes, "t");
+      RC_ASSERT(!read || read.value().size() <= kMaxBytes);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CompressionTest);
+
+}  // namespace
+
+}  // namespace cumin
--- a/tests/platform/thin_link_test.cc
+++ b/tests/platform/thin_link_test.cc
@@ -1,4 +1,5 @@
 #include <future>
+#include <random>
 
 #include "platform/mesh_fixture.h"
 
@@ -15,6 +16,7 @@
 class ThinLinkTest : public MeshFixture {
   CPPUNIT_TEST_SUITE(ThinLinkTest);
   CPPUNIT_TEST(TestLargeAnswersAreHandedToTheLinkAtItsRate);
+  CPPUNIT_TEST(TestWholeConfigurationFitsBesideLargeAnswers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -52,6 +54,45 @@
     CPPUNIT_ASSERT(bytes > 0);
     CPPUNIT_ASSERT(bytes <= elapsed.count() * kLinkMbps * kBytesPerMegabit);
   }
+
+  // Guards against issue 17: a change of 1,200 routes took longer to push to
+  // four peers over a thin link than the push may take; each was pushed again
+  // by others, and the fleet's links were full for seconds.
+  void TestWholeConfigurationFitsBesideLargeAnswers() {
+    SetConfiguration(MakeLargeConfiguration());
+    StartVm("svc");
+    HttpRequest pull;
+    pull.path = "/-/config/pull";
+    pull.query = "0";
+    const std::string body = Send(vms_[0]->addresses.peers, pull).body;
+    CPPUNIT_ASSERT(!body.empty());
+    CPPUNIT_ASSERT(body.size() <= kMaxPushBytes);
+  }
+
+ private:
+  /** What a link of 7 Mbit/s carries in the second that a push may take, in the
+      part that large answers leave, for each of the four children. */
+  static constexpr std::size_t kMaxPushBytes = 7 * 1000000 / 8 * 15 / 100 / 4;
+
+  /** @returns 1,200 routes with names that have nothing in common */
+  static std::string MakeLargeConfiguration() {
+    constexpr int kRoutes = 1200;
+    std::mt19937 random(1);
+    const auto word = [&random] {
+      static constexpr char kLetters[] = "abcdefghijklmnopqrstuvwxyz0123456789";
+      std::string text;
+      for (int i = 0; i < 8; ++i) {
+        text += kLetters[random() % (sizeof(kLetters) - 1)];
+      }
+      return text;
+    };
+    std::vector<test::RouteText> routes;
+    routes.reserve(kRoutes);
+    for (int i = 0; i < kRoutes; ++i) {
+      routes.push_back({word(), "/" + word() + "/", "idempotent", "svc"});
+    }
+    return test::MakeConfigurationText(1, routes);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ThinLinkTest);
