A request whose caller has already left isn't handed on

Cause: the listener waits for a hang-up only from the moment that it has handed the request on. Where a link delivers the request and the hang-up together, the call was at the target before the hang-up was looked at.

Fix: the listener looks once before it hands a request on; one system call a request.

HttpListenerTest::TestRequestWhoseCallerHasLeftIsNotHandled failed before (two requests handled, one of them from a caller that had gone). Also tests that an answer is broken off when its pacing says so.

--- a/modules/cumin_http/http_listener.cc
+++ b/modules/cumin_http/http_listener.cc
@@ -211,6 +211,9 @@
       }
       co_return false;
     }
+    if (IsClosedByPeer(connection->stream.socket())) {
+      co_return false;
+    }
     const bool keep_alive = parser.get().keep_alive();
     CallerWatch caller;
     connection->caller = &caller;
--- a/modules/cumin_http/http_listener.h
+++ b/modules/cumin_http/http_listener.h
@@ -70,8 +70,9 @@
 
     One request at a time on a connection. A request that breaks the protocol
     or a limit is answered with 400, 408, 413 or 431, none of which reached the
-    handler, and its connection is closed. The handler hears when its caller
-    closes the connection.
+    handler, and its connection is closed. A request whose caller has closed the
+    connection already reaches no handler either; the handler hears when its
+    caller closes later.
 */
 class HttpListener {
  public:
--- a/tests/http/http_listener_test.cc
+++ b/tests/http/http_listener_test.cc
@@ -2,10 +2,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include "cumin_http/answer_pacing.h"
 #include "cumin_http/socket_options.h"
 #include "support/loop_thread.h"
 
@@ -13,6 +15,18 @@
 
 namespace {
 
+/** Allows two parts of three bytes and then no more. */
+class TwoParts final : public AnswerPacing {
+ public:
+  Task<std::size_t> NextBytes(std::size_t left) override {
+    parts_ += 1;
+    co_return parts_ > 2 ? 0 : std::min<std::size_t>(left, 3);
+  }
+
+ private:
+  int parts_ = 0;
+};
+
 /** Answers with the request's path and body, or waits until its caller leaves.
  */
 class EchoHandler final : public HttpRequestHandler,
@@ -28,6 +42,9 @@
     }
     HttpResponse response;
     response.body = request.path + "|" + request.query + "|" + request.body;
+    if (request.path == "/paced") {
+      response.pacing = std::make_shared<TwoParts>();
+    }
     co_return response;
   }
 
@@ -71,6 +88,8 @@
   CPPUNIT_TEST(TestSmuggledRequestNeverReachesTheHandler);
   CPPUNIT_TEST(TestLimits);
   CPPUNIT_TEST(TestHangUpIsHeard);
+  CPPUNIT_TEST(TestRequestWhoseCallerHasLeftIsNotHandled);
+  CPPUNIT_TEST(TestPacedAnswerIsBrokenOff);
   CPPUNIT_TEST(TestStopClosesIdleAndLastAnswersSaySo);
   CPPUNIT_TEST_SUITE_END();
 
@@ -137,6 +156,28 @@
     AwaitEqual(handler_->hang_ups, 1);
   }
 
+  // Guards against issue 17: a request that a slow link delivered together with
+  // its caller's hang-up was still run.
+  void TestRequestWhoseCallerHasLeftIsNotHandled() {
+    // Nothing is accepted or read until the caller has come and gone.
+    loop_->Post([this] {
+      RawCaller caller(bound_);
+      caller.Send("GET /left HTTP/1.1\r\nHost: x\r\n\r\n");
+      caller.Close();
+    });
+    const std::string text =
+        Ask("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    CPPUNIT_ASSERT(text.find("/a||") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(1, handler_->calls.load());
+  }
+
+  void TestPacedAnswerIsBrokenOff() {
+    const std::string text = Ask("GET /paced HTTP/1.1\r\nHost: x\r\n\r\n");
+    CPPUNIT_ASSERT(text.find("Content-Length: 8\r\n") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::string("\r\n\r\n/paced"),
+                         text.substr(text.size() - 10));
+  }
+
   void TestStopClosesIdleAndLastAnswersSaySo() {
     RawCaller idle(bound_);
     idle.Send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
