Status 421 of a target without its statement isn't taken for "not run"

Next to it a fault of ours: a target's status 421 counted as "not run" even without X-Not-Executed, the only field that states it. Callers got 503 and could run a request that must run at most once a second time.

MeshProcessTest::TestOnlyTheTargetsStatementMeansNotRun failed before (421: 503 instead of 502); it also holds 408, 429 and 503 both ways.

--- a/modules/cumin_daemon/target_port.cc
+++ b/modules/cumin_daemon/target_port.cc
@@ -258,9 +258,7 @@
     return outcome;
   }
   HttpResponse& response = result.response;
-  const bool not_executed =
-      response.headers.Has(board_.names.not_executed) || response.status == 421;
-  if (not_executed) {
+  if (response.headers.Has(board_.names.not_executed)) {
     CallOutcome outcome = FailedOutcome(
         Verdict::kNotRun, RefusalReason::kTargetFailed,
         "the target did not run it, status " + std::to_string(response.status));
--- a/tests/platform/mesh_fixture.h
+++ b/tests/platform/mesh_fixture.h
@@ -36,6 +36,10 @@
     HttpResponse response;
     response.headers.Set("X-Attempt-Id", request.headers.Get("X-Attempt-Id"));
     response.headers.Set("X-Response-Signature", "s");
+    response.status = status;
+    if (is_not_executed) {
+      response.headers.Set("X-Not-Executed", "1");
+    }
     response.body = request.path + "|" + request.body;
     response.body.resize(std::max(response.body.size(), min_answer_bytes));
     co_return response;
@@ -44,6 +48,9 @@
   int runs = 0;
   Duration work{0};
   std::size_t min_answer_bytes = 0;
+  int status = 200;
+  /** The answers state that the target did not run the request. */
+  bool is_not_executed = false;
   HttpRequest last;
 };
 
--- a/tests/platform/mesh_process_test.cc
+++ b/tests/platform/mesh_process_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(TestDaemonThatReturnsWithoutTheStoreHearsOfItsPeers);
   CPPUNIT_TEST(TestDaemonThatIsGreetedStillAsksForAllMembers);
   CPPUNIT_TEST(TestVmThatTookOverAnAddressIsNotTakenForTheOldOne);
+  CPPUNIT_TEST(TestOnlyTheTargetsStatementMeansNotRun);
   CPPUNIT_TEST(TestBadSettingsAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -203,6 +204,25 @@
     CPPUNIT_ASSERT_EQUAL(503, Call(*vms_[1], "/p1/").status);
   }
 
+  // Guards against issue 17: a status by which a daemon promises "not run" was
+  // passed on as that promise when a target sent it without saying so.
+  void TestOnlyTheTargetsStatementMeansNotRun() {
+    SetConfiguration(MakeConfiguration(2, "non_idempotent"));
+    StartVm("svc");
+    Announce(*vms_[0], "ready", 1);
+    AwaitAnswer(*vms_[0], "/p2/", 200);
+    for (const int status : {408, 421, 429, 503}) {
+      for (const bool is_stated : {false, true}) {
+        loop_->Post([&] {
+          vms_[0]->handler.status = status;
+          vms_[0]->handler.is_not_executed = is_stated;
+        });
+        CPPUNIT_ASSERT_EQUAL(is_stated ? 503 : 502,
+                             Call(*vms_[0], "/p2/").status);
+      }
+    }
+  }
+
   void TestBadSettingsAreRefused() {
     const std::string path = dir_.File("bad.yaml");
     std::ofstream(path) << "vm: a\nregion: r\nfailure_domain: z\n"
