Answers without an end are given up before memory is short

A head was given up after 64 KiB. A body was read to 64 MiB, each: four of them are more than the memory of a VM.

Fix: the bodies under way of all exchanges are counted together; above 32 MiB an exchange whose own body is longer than 1 MiB is given up as garbled, so that short answers go on.

HttpConnectionPoolTest::TestBodiesWithoutEndAreGivenUpBeforeMemoryIsShort failed without the limit. TestHeadWithoutEndIsGivenUp was green before.

--- a/modules/cumin_http/http_connection_pool.cc
+++ b/modules/cumin_http/http_connection_pool.cc
@@ -29,6 +29,8 @@
 constexpr int kMaxForeignAnswers = 2;
 /** A connection is given up this long before its other end would close it. */
 constexpr Duration kIdleMargin = std::chrono::seconds(1);
+/** A body up to this size is never given up for the sake of others. */
+constexpr std::size_t kAlwaysRoomBytes = std::size_t{1} << 20U;
 /** Connections kept idle for one endpoint. */
 constexpr std::size_t kMaxIdle = 16;
 
@@ -160,6 +162,8 @@
   asio::any_io_executor executor_;
   std::uint64_t opened_ = 0;
   std::uint64_t failed_ = 0;
+  /** Of the answers that are being read. */
+  std::size_t total_body_bytes_ = 0;
 
  private:
   static bool IsExpired(Connection& connection, SteadyTime now) {
@@ -215,20 +219,59 @@
          parser.get()[options.correlation_field] == options.correlation_value;
 }
 
+/** Counts one body in the sum of all that are being read. */
+class BodyShare {
+ public:
+  explicit BodyShare(std::size_t& total) : total_(total) {}
+  ~BodyShare() { total_ -= own_; }
+  BodyShare(const BodyShare&) = delete;
+  BodyShare& operator=(const BodyShare&) = delete;
+
+  /** @param n  bytes of the body so far
+      @returns whether it may go on */
+  bool Grow(std::size_t n) {
+    total_ += n - own_;
+    own_ = n;
+    return own_ <= kAlwaysRoomBytes ||
+           total_ <= HttpConnectionPool::kMaxTotalBodyBytes;
+  }
+
+ private:
+  std::size_t& total_;
+  std::size_t own_ = 0;
+};
+
+/** Reads one answer to its end.
+    @returns the library's error */
+Task<error_code> ReadWhole(Connection& connection, Parser& parser,
+                           std::size_t& total_body_bytes) {
+  BodyShare share(total_body_bytes);
+  error_code ec;
+  while (!ec && !parser.is_done()) {
+    co_await http::async_read_some(
+        connection.stream, connection.buffer, parser,
+        asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && !share.Grow(parser.get().body().size())) {
+      ec = http::error::body_limit;
+    }
+  }
+  co_return ec;
+}
+
 /** Reads answers until the request's own.
+    @param[in,out] total_body_bytes  of all exchanges under way
     @param[out] may_keep  whether the connection carries nothing but it */
 Task<ExchangeResult> ReadAnswer(Connection& connection,
                                 const HttpRequest& request,
                                 const ExchangeOptions& options,
-                                bool* may_keep) {
+                                std::size_t& total_body_bytes, bool* may_keep) {
   for (int foreign = 0; foreign <= kMaxForeignAnswers; ++foreign) {
     Parser parser;
     parser.header_limit(kMaxHeaderBytes);
     parser.body_limit(options.max_body_bytes);
     parser.skip(request.method == "HEAD");
-    error_code ec;
-    co_await http::async_read(connection.stream, connection.buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+    const error_code ec =
+        co_await ReadWhole(connection, parser, total_body_bytes);
     if (ec) {
       co_return FailedAfterSend(ec);
     }
@@ -294,7 +337,8 @@
   if (ec) {
     result = FailedAfterSend(ec);
   } else {
-    result = co_await ReadAnswer(*connection, request, options, &may_keep);
+    result = co_await ReadAnswer(*connection, request, options,
+                                 implementation_->total_body_bytes_, &may_keep);
   }
   result.was_reused = was_reused;
   if (abort != nullptr) {
--- a/modules/cumin_http/http_connection_pool.h
+++ b/modules/cumin_http/http_connection_pool.h
@@ -75,10 +75,15 @@
 
     A request is sent once: nothing is ever sent again on another connection. A
     connection is kept only after a whole answer with no byte behind it, and
-    used again only while nothing has arrived on it.
+    used again only while nothing has arrived on it. Bodies are held as a whole;
+    while all of them together are too large, the longer ones are given up as
+    garbled.
 */
 class HttpConnectionPool {
  public:
+  /** Bodies under way hold this much together before long ones are given up. */
+  static constexpr std::size_t kMaxTotalBodyBytes = std::size_t{32} << 20U;
+
   /** @param executor  of the event loop */
   explicit HttpConnectionPool(const asio::any_io_executor& executor);
   ~HttpConnectionPool();
--- a/tests/http/http_connection_pool_test.cc
+++ b/tests/http/http_connection_pool_test.cc
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <future>
+#include <memory>
+#include <vector>
+
 #include "support/loop_thread.h"
 #include "support/raw_server.h"
 
@@ -12,6 +16,10 @@
 constexpr char kKeptAnswer[] =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: a\r\n\r\nok";
 
+constexpr char kEarlierRefusal[] =
+    "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\nId: b\r\n"
+    "Not-Executed: 1\r\n\r\n";
+
 ExchangeOptions MakeOptions() {
   ExchangeOptions options;
   options.timeout = std::chrono::seconds(10);
@@ -40,6 +48,11 @@
   CPPUNIT_TEST(TestExtraBytesEndTheConnection);
   CPPUNIT_TEST(TestBytesThatAreNoAnswer);
   CPPUNIT_TEST(TestContradictingLengthsAreNoAnswer);
+  CPPUNIT_TEST(TestAnswerCutInItsHeadIsNoAnswer);
+  CPPUNIT_TEST(TestEarlierRefusalWrittenOnceMoreIsPassedOver);
+  CPPUNIT_TEST(TestRefusalOfAnotherRequestAloneIsNoAnswer);
+  CPPUNIT_TEST(TestHeadWithoutEndIsGivenUp);
+  CPPUNIT_TEST(TestBodiesWithoutEndAreGivenUpBeforeMemoryIsShort);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -139,7 +152,93 @@
                        .end == ExchangeEnd::kGarbled);
   }
 
+  // Guards against issue 17: a server that stopped in the middle of an answer's
+  // head and closed was taken for one that had sent a whole answer.
+  void TestAnswerCutInItsHeadIsNoAnswer() {
+    const std::string whole = kKeptAnswer;
+    for (std::size_t n = 0; n < whole.size(); ++n) {
+      const ExchangeResult result = Exchange(whole.substr(0, n));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(n) + " bytes",
+                             result.end == ExchangeEnd::kBroken);
+    }
+  }
+
+  // Guards against issue 17: a server wrote an earlier refusal once more on a
+  // kept connection, and a request that ran was reported as not run.
+  void TestEarlierRefusalWrittenOnceMoreIsPassedOver() {
+    const ExchangeResult result =
+        Exchange(std::string(kEarlierRefusal) + kKeptAnswer);
+    CPPUNIT_ASSERT(result.end == ExchangeEnd::kAnswered);
+    CPPUNIT_ASSERT_EQUAL(200, result.response.status);
+  }
+
+  void TestRefusalOfAnotherRequestAloneIsNoAnswer() {
+    CPPUNIT_ASSERT(Exchange(kEarlierRefusal).end == ExchangeEnd::kBroken);
+    CPPUNIT_ASSERT(Exchange("HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n"
+                            "Not-Executed: 1\r\n\r\n")
+                       .end == ExchangeEnd::kBroken);
+  }
+
+  void TestHeadWithoutEndIsGivenUp() {
+    const test::RawServer server("HTTP/1.1 200 OK\r\n",
+                                 test::AfterAnswer::kWriteWithoutEnd,
+                                 "Filler: " + std::string(100, 'x') + "\r\n");
+    const std::vector<ExchangeResult> results = ExchangeWithEach({&server});
+    CPPUNIT_ASSERT(results[0].end == ExchangeEnd::kGarbled);
+    CPPUNIT_ASSERT(server.written() < kSocketBufferBytes);
+  }
+
+  // Guards against issue 17: answers without an end were each read to 64 MiB,
+  // more than the memory of the VM together.
+  void TestBodiesWithoutEndAreGivenUpBeforeMemoryIsShort() {
+    constexpr int kServers = 4;
+    const std::string part = "8000\r\n" + std::string(0x8000, 'x') + "\r\n";
+    std::vector<std::unique_ptr<test::RawServer>> servers;
+    std::vector<const test::RawServer*> all;
+    for (int i = 0; i < kServers; ++i) {
+      servers.push_back(std::make_unique<test::RawServer>(
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nId: a\r\n\r\n",
+          test::AfterAnswer::kWriteWithoutEnd, part));
+      all.push_back(servers.back().get());
+    }
+    for (const ExchangeResult& it : ExchangeWithEach(all)) {
+      CPPUNIT_ASSERT(it.end == ExchangeEnd::kGarbled);
+    }
+    std::size_t written = 0;
+    for (const test::RawServer* const it : all) {
+      written += it->written();
+    }
+    CPPUNIT_ASSERT(written < HttpConnectionPool::kMaxTotalBodyBytes +
+                                 kServers * kSocketBufferBytes);
+  }
+
  private:
+  /** More than both ends' socket buffers of one connection hold. */
+  static constexpr std::size_t kSocketBufferBytes = std::size_t{16} << 20U;
+
+  /** Exchanges one request with each server, all at once. */
+  static std::vector<ExchangeResult> ExchangeWithEach(
+      const std::vector<const test::RawServer*>& servers) {
+    test::LoopThread loop;
+    HttpConnectionPool pool(loop.executor());
+    const HttpRequest request = MakePost();
+    const ExchangeOptions options = MakeOptions();
+    std::vector<std::future<ExchangeResult>> pending;
+    pending.reserve(servers.size());
+    for (const test::RawServer* const it : servers) {
+      pending.push_back(std::async(std::launch::async, [&, it] {
+        return loop.Run(pool.Exchange(it->endpoint(), request, options));
+      }));
+    }
+    std::vector<ExchangeResult> results;
+    results.reserve(servers.size());
+    for (std::future<ExchangeResult>& it : pending) {
+      results.push_back(it.get());
+    }
+    loop.Stop();
+    return results;
+  }
+
   static ExchangeResult Exchange(const std::string& answer) {
     test::LoopThread loop;
     const test::RawServer server(answer);
--- a/tests/support/raw_server.cc
+++ b/tests/support/raw_server.cc
@@ -17,8 +17,8 @@
 
 }  // namespace
 
-RawServer::RawServer(std::string answer, AfterAnswer after)
-    : answer_(std::move(answer)), after_(after) {
+RawServer::RawServer(std::string answer, AfterAnswer after, std::string part)
+    : answer_(std::move(answer)), after_(after), part_(std::move(part)) {
   listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in name{};
   name.sin_family = AF_INET;
@@ -52,16 +52,35 @@
   }
 }
 
+bool RawServer::Write(int fd, const std::string& bytes) {
+  std::size_t done = 0;
+  while (done < bytes.size()) {
+    const ssize_t n =
+        send(fd, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
+    if (n < 0) {
+      return false;
+    }
+    done += static_cast<std::size_t>(n);
+    written_ += static_cast<std::size_t>(n);
+  }
+  return true;
+}
+
 void RawServer::Serve(int fd) {
   char buf[kBufferBytes];
   if (read(fd, buf, sizeof(buf)) <= 0) {
     return;
   }
   ++requests_;
-  const bool answered = write(fd, answer_.data(), answer_.size()) >= 0;
+  const bool answered = Write(fd, answer_);
   if (!answered || after_ == AfterAnswer::kClose) {
     return;
   }
+  if (after_ == AfterAnswer::kWriteWithoutEnd) {
+    while (Write(fd, part_)) {
+    }
+    return;
+  }
   if (read(fd, buf, sizeof(buf)) > 0) {
     ++requests_;
   }
