A route that only a newer version may have is answered with 503, not 404

Callers saw: 404 for a route that had been added and confirmed (CONFIG).

Fix: while a newer version has been heard of, an unknown route is refused as not run, with 0.2 s to come back.

IngressTest::TestRouteUnknownHereOnlyIsRetriedRatherThanNotFound failed before (404).

--- a/modules/cumin_daemon/ingress.cc
+++ b/modules/cumin_daemon/ingress.cc
@@ -16,6 +16,8 @@
 constexpr int kGatewayTimeout = 504;
 /** Before the first configuration a caller may come back after this time. */
 constexpr Duration kStartingRetryAfter = std::chrono::milliseconds(200);
+/** While a newer version, which may have the route, is on its way here. */
+constexpr Duration kBehindRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(100);
 /** Daemons that one attempt is offered to at most; each that refuses costs a
     round trip. */
@@ -104,6 +106,10 @@
                         static_cast<std::int64_t>(board_.newest_heard))
                   .With("store_quiet_ms", arrived - board_.store_heard),
               arrived);
+    if (board_.newest_heard > routes->version()) {
+      co_return Refuse(kUnavailable, "a newer configuration is on its way",
+                       kBehindRetryAfter);
+    }
     co_return Refuse(kNotFound, "no route for this host and path");
   }
   const Result<MeshCall> call = MakeCall(std::move(request), *route);
--- /dev/null
+++ b/tests/daemon/ingress_test.cc
@@ -0,0 +1,91 @@
+#include "cumin_daemon/ingress.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "support/loop_thread.h"
+
+namespace cumin {
+
+namespace {
+
+constexpr std::uint64_t kInForce = 4;
+
+RouteDocument MakeDocument() {
+  Route route;
+  route.name = "orders";
+  route.host = "shop.example";
+  route.prefix = "/orders/";
+  route.timeout = std::chrono::seconds(1);
+  route.target_latency = std::chrono::milliseconds(100);
+  route.services = {WeightedService{ServiceId("svc"), 1}};
+  RouteDocument document;
+  document.version = kInForce;
+  document.services = {ServiceId("svc")};
+  document.routes = {route};
+  return document;
+}
+
+class IngressTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(IngressTest);
+  CPPUNIT_TEST(TestRouteUnknownHereOnlyIsRetriedRatherThanNotFound);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    log_fd_ = open("/dev/null", O_WRONLY | O_CLOEXEC);
+    loop_ = std::make_unique<test::LoopThread>();
+    board_ = std::make_unique<MeshBoard>(MeshSettings{}, HeaderNames{},
+                                         loop_->executor(), clock_, 1, log_fd_);
+    target_ = std::make_unique<TargetPort>(*board_);
+    peers_ = std::make_unique<PeerClient>(*board_);
+    ingress_ = std::make_unique<Ingress>(*board_, *target_, *peers_);
+    board_->routes = RouteTable::Make(MakeDocument(), "test").value();
+    board_->ready = true;
+  }
+
+  void tearDown() override {
+    loop_->Stop();
+    ingress_.reset();
+    peers_.reset();
+    target_.reset();
+    board_.reset();
+    loop_.reset();
+    close(log_fd_);
+  }
+
+  // Guards against issue 17: a daemon that had heard of a newer version said
+  // that a route which had been added to it didn't exist.
+  void TestRouteUnknownHereOnlyIsRetriedRatherThanNotFound() {
+    board_->newest_heard = kInForce;
+    CPPUNIT_ASSERT_EQUAL(404, Call("/added/").status);
+    board_->newest_heard = kInForce + 1;
+    const HttpResponse behind = Call("/added/");
+    CPPUNIT_ASSERT_EQUAL(503, behind.status);
+    CPPUNIT_ASSERT(behind.headers.Has("Retry-After"));
+  }
+
+ private:
+  HttpResponse Call(const std::string& path) {
+    HttpRequest request;
+    request.path = path;
+    request.headers.Set("Host", "shop.example");
+    CallerWatch caller;
+    return loop_->Run(ingress_->Handle(std::move(request), caller));
+  }
+
+  int log_fd_ = -1;
+  SystemClock clock_;
+  std::unique_ptr<test::LoopThread> loop_;
+  std::unique_ptr<MeshBoard> board_;
+  std::unique_ptr<TargetPort> target_;
+  std::unique_ptr<PeerClient> peers_;
+  std::unique_ptr<Ingress> ingress_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(IngressTest);
+
+}  // namespace
+
+}  // namespace cumin
