--- a/tests/daemon/hop_codec_test.cc
+++ b/tests/daemon/hop_codec_test.cc
@@ -77,6 +77,7 @@
       outcome.load =
           TargetLoad{*rc::gen::inRange(0, 9), *rc::gen::inRange(0, 9),
                      *rc::gen::inRange(0, 9), *rc::gen::arbitrary<bool>(),
+                     Duration(*rc::gen::inRange(0, 999999)),
                      Duration(*rc::gen::inRange(0, 999999))};
       outcome.response.status = 500;
       outcome.response.body = "failed";
--- a/tests/routing/target_chooser_test.cc
+++ b/tests/routing/target_chooser_test.cc
@@ -103,6 +103,7 @@
   CPPUNIT_TEST(TestUnreachableDaemonIsAvoidedAtOnce);
   CPPUNIT_TEST(TestFullTargetsAreWeighedByDelayAndDistance);
   CPPUNIT_TEST(TestLargeAnswersStayInTheRegion);
+  CPPUNIT_TEST(TestLargeAnswersAvoidAFullLink);
   CPPUNIT_TEST(TestReplacedTargetForgetsItsLeave);
   CPPUNIT_TEST(TestTwoChoicesKeepLoadEven);
   CPPUNIT_TEST_SUITE_END();
@@ -223,6 +224,28 @@
                          chooser.Choose(request, kStart, random, &refusal)->vm);
   }
 
+  void TestLargeAnswersAvoidAFullLink() {
+    TargetChooser chooser({RegionId("perth"), FailureDomainId("a")});
+    const Member thin = MakeMember(0, "perth", "a", 4);
+    const Member wide = MakeMember(1, "perth", "b", 4);
+    chooser.SetMembers({thin, wide}, kStart);
+    TargetLoad load{0, 0, 4, false};
+    load.link_wait = std::chrono::seconds(2);
+    chooser.OnLoad(thin.vm, load, kStart);
+    SeededRandom random(1);
+    Refusal refusal;
+    const ChooseRequest large{kService, {}, true};
+    const ChooseRequest small{kService, {}, false};
+    CPPUNIT_ASSERT_EQUAL(wide.vm,
+                         chooser.Choose(large, kStart, random, &refusal)->vm);
+    CPPUNIT_ASSERT_EQUAL(thin.vm,
+                         chooser.Choose(small, kStart, random, &refusal)->vm);
+    // What was on the link then has crossed it by now.
+    const MonoTime later = kStart + load.link_wait;
+    CPPUNIT_ASSERT_EQUAL(thin.vm,
+                         chooser.Choose(large, later, random, &refusal)->vm);
+  }
+
   void TestReplacedTargetForgetsItsLeave() {
     TargetChooser chooser({RegionId("perth"), FailureDomainId("a")});
     Member member = MakeMember(0, "perth", "a", 2);
