--- a/tests/daemon/hop_codec_test.cc
+++ b/tests/daemon/hop_codec_test.cc
@@ -74,11 +74,12 @@
       outcome.refusal.retry_after = Duration(*rc::gen::inRange(0, 1000000));
       outcome.reached_target = *rc::gen::arbitrary<bool>();
       outcome.has_load = *rc::gen::arbitrary<bool>();
-      outcome.load =
-          TargetLoad{*rc::gen::inRange(0, 9), *rc::gen::inRange(0, 9),
-                     *rc::gen::inRange(0, 9), *rc::gen::arbitrary<bool>(),
-                     Duration(*rc::gen::inRange(0, 999999)),
-                     Duration(*rc::gen::inRange(0, 999999))};
+      outcome.load = TargetLoad{*rc::gen::inRange(0, 9),
+                                *rc::gen::inRange(0, 9),
+                                *rc::gen::inRange(0, 9),
+                                *rc::gen::arbitrary<bool>(),
+                                Duration(*rc::gen::inRange(0, 999999)),
+                                Duration(*rc::gen::inRange(0, 999999))};
       outcome.response.status = 500;
       outcome.response.body = "failed";
       const CallOutcome read = DecodeOutcome(EncodeOutcome(outcome)).value();
