--- a/modules/cumin_daemon/config_agent.cc
+++ b/modules/cumin_daemon/config_agent.cc
@@ -12,8 +12,7 @@
 constexpr std::size_t kPeersToBeReady = 3;
 /** Versions kept to make deltas from. */
 constexpr std::size_t kRecentVersions = 4;
-/** Of a change between daemons as text; the largest configuration is shorter.
- */
+/** Of a change between daemons, as text. */
 constexpr std::size_t kMaxDeltaBytes = std::size_t{16} << 20U;
 constexpr Duration kWatchLength = std::chrono::seconds(10);
 /** Changes in quick succession are taken together: the store is asked again
--- a/modules/cumin_daemon/cumin_daemon.h
+++ b/modules/cumin_daemon/cumin_daemon.h
@@ -4,7 +4,8 @@
     cumin_daemon: the daemon beside one target VM, driven by events on one loop.
 
     `Ingress` serves the callers, `PeerClient` and `PeerHandler` carry calls
-    between daemons, `TargetPort` hands them to the target. `FleetAgent`,
+    between daemons, `TargetPort` hands them to the target. `PeerLink` shares
+    the VM's link among their answers. `FleetAgent`,
     `ConfigAgent` and `ContactKeeper` keep members, routes and the store's
    entry. They share one `MeshBoard`; `MeshDaemon` starts and ends them.
     `MeshMetrics` counts what `EventLog` tells call by call.
--- /dev/null
+++ b/modules/cumin_daemon/peer_delivery.cc
@@ -0,0 +1,79 @@
+#include "cumin_daemon/peer_delivery.h"
+
+#include <algorithm>
+
+namespace cumin {
+
+namespace {
+
+/** Expected of a download before the first one has been seen. */
+constexpr std::size_t kUnknownDownloadBytes = std::size_t{64} * 1024;
+/** Around a body: status line, header fields, headers of packets. */
+constexpr std::size_t kOverheadBytes = 500;
+
+}  // namespace
+
+PeerDelivery::PeerDelivery(PeerLink& link,
+                           const asio::any_io_executor& executor,
+                           const Clock& clock, const MeshCall& call,
+                           CallerWatch& caller)
+    : link_(link),
+      clock_(clock),
+      caller_(caller),
+      is_download_(call.kind == RouteKind::kDownload),
+      wake_up_(executor) {
+  operation = call.route;
+  priority = call.priority;
+  deadline = call.deadline;
+  wanted_by = call.wanted_by;
+}
+
+PeerDelivery::~PeerDelivery() { caller_.SetListener(nullptr); }
+
+std::optional<Refusal> PeerDelivery::Admit(MonoTime ready_at) {
+  const std::size_t n = is_download_ ? kUnknownDownloadBytes : 0;
+  return link_.budget().Admit(*this, n, ready_at, clock_.Now());
+}
+
+void PeerDelivery::Attach(const std::shared_ptr<PeerDelivery>& self,
+                          HttpResponse* answer) {
+  const std::size_t n = answer->body.size();
+  PeerLink& link = self->link_;
+  link.Charge(kOverheadBytes);
+  link.budget().OnAnswer(*self, n);
+  if (n <= LinkBudget::kLargeAnswerBytes) {
+    link.Charge(n);
+    return;
+  }
+  self->caller_.SetListener(self.get());
+  answer->pacing = self;
+}
+
+Task<std::size_t> PeerDelivery::NextBytes(std::size_t left) {
+  if (!link_.budget().is_limited()) {
+    co_return left;
+  }
+  if (caller_.is_gone()) {
+    co_return 0;
+  }
+  granted_ = 0;
+  link_.budget().AwaitTurn(*this);
+  link_.GiveTurns();
+  const auto limit =
+      std::chrono::duration_cast<Duration>(deadline - clock_.Now());
+  co_await wake_up_.WaitFor(std::max(Duration::zero(), limit));
+  is_waiting = false;
+  co_return std::min(granted_, left);
+}
+
+void PeerDelivery::OnTurn(std::size_t n) {
+  granted_ = n;
+  wake_up_.Notify();
+}
+
+void PeerDelivery::OnCallerGone() {
+  is_waiting = false;
+  wake_up_.Notify();
+}
+
+}  // namespace cumin
--- a/modules/cumin_daemon/peer_handler.cc
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "cumin_daemon/hop_codec.h"
+#include "cumin_daemon/peer_delivery.h"
 
 namespace cumin {
 
--- a/modules/cumin_daemon/peer_link.h
+++ b/modules/cumin_daemon/peer_link.h
@@ -1,15 +1,17 @@
 #pragma once
 
-#include <memory>
-
 #include "cumin_admission/link_budget.h"
-#include "cumin_daemon/mesh_call.h"
-#include "cumin_http/answer_pacing.h"
-#include "cumin_http/http_listener.h"
-#include "cumin_http/wake_up.h"
+#include "cumin_http/asio.h"
 
 namespace cumin {
 
+/** A transfer that hears of its turns. */
+struct PeerTransfer : LinkTransfer {
+  virtual ~PeerTransfer() = default;
+  /** @param n  bytes that may be sent now; 0 when it can't end in time */
+  virtual void OnTurn(std::size_t n) = 0;
+};
+
 /** This VM's link as the answers to other daemons share it. */
 class PeerLink {
  public:
@@ -22,6 +24,7 @@
   PeerLink(const PeerLink&) = delete;
   PeerLink& operator=(const PeerLink&) = delete;
 
+  /** Its transfers are PeerTransfers. */
   LinkBudget& budget() { return budget_; }
 
   /** @returns how long the admitted answers take to cross from now on */
@@ -40,46 +43,4 @@
   bool is_timer_set_ = false;
 };
 
-/** The answer of one call on its way to the daemon that sent the call, from the
-    call's admission until the answer is written or nobody waits for it. */
-class PeerDelivery final : public AnswerPacing,
-                           private LinkTransfer,
-                           private CallerWatch::Listener {
- public:
-  /** @param link    outlives this
-      @param caller  outlives this */
-  PeerDelivery(PeerLink& link, const asio::any_io_executor& executor,
-               const Clock& clock, const MeshCall& call, CallerWatch& caller);
-  ~PeerDelivery() override;
-  PeerDelivery(const PeerDelivery&) = delete;
-  PeerDelivery& operator=(const PeerDelivery&) = delete;
-
-  /** @param ready_at  when the answer is expected
-      @returns a refusal, always NotRun, when the answer could not cross the
-      link in time */
-  std::optional<Refusal> Admit(MonoTime ready_at);
-
-  /** Takes the answer over for writing, if it is large; a small one is
-      counted and not paced.
-      @param self    this delivery
-      @param answer  whose pacing is set */
-  static void Attach(const std::shared_ptr<PeerDelivery>& self,
-                     HttpResponse* answer);
-
-  Task<std::size_t> NextBytes(std::size_t left) override;
-
- private:
-  friend class PeerLink;
-
-  void OnTurn(std::size_t n);
-  void OnCallerGone() override;
-
-  PeerLink& link_;
-  const Clock& clock_;
-  CallerWatch& caller_;
-  const bool is_download_;
-  WakeUp wake_up_;
-  std::size_t granted_ = 0;
-};
-
 }  // namespace cumin
--- a/modules/cumin_daemon/target_port.h
+++ b/modules/cumin_daemon/target_port.h
@@ -7,6 +7,7 @@
 #include "cumin_admission/dispatch_queue.h"
 #include "cumin_daemon/mesh_board.h"
 #include "cumin_daemon/mesh_call.h"
+#include "cumin_daemon/peer_delivery.h"
 #include "cumin_http/http_listener.h"
 #include "cumin_http/wake_up.h"
 
--- a/modules/cumin_http/asio.h
+++ b/modules/cumin_http/asio.h
@@ -1,6 +1,10 @@
 #pragma once
 
 // Asio 1.74 uses std::exchange without including <utility>.
+// clang-format off
+#include <utility>
+// clang-format on
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,7 +15,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <utility>
 
 #include "cumin_core/time.h"
 
