--- a/modules/cumin_http/http_listener.cc
+++ b/modules/cumin_http/http_listener.cc
@@ -284,7 +284,9 @@
       co_await http::async_write_header(
           connection.stream, serializer,
           asio::redirect_error(asio::use_awaitable, ec));
-      ec = ec ? ec : co_await WritePaced(connection, answer);
+      if (!ec) {
+        ec = co_await WritePaced(connection, answer);
+      }
     }
     connection.stream.expires_never();
     co_return !ec;
