--- a/modules/cumin_daemon/mesh_metrics.cc
+++ b/modules/cumin_daemon/mesh_metrics.cc
@@ -3,6 +3,8 @@
 #include <iterator>
 #include <sstream>
 
+#include "cumin_admission/link_budget.h"
+
 namespace cumin {
 
 namespace {
@@ -12,9 +14,6 @@
 constexpr double kEdgesS[] = {0,   0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
                               0.1, 0.2,   0.5,   1,     2,    5,    10};
 
-/** A longer body delays what stands behind it on a thin link noticeably. */
-constexpr std::size_t kLargeAnswerBytes = std::size_t{16} * 1024;
-
 double ToSeconds(Duration length) {
   return std::chrono::duration<double>(length).count();
 }
@@ -86,7 +85,7 @@
 void MeshMetrics::CountPush(const char* result) { pushes_[result] += 1; }
 
 void MeshMetrics::CountPeerAnswer(std::size_t n) {
-  peer_answer_bytes_[n > kLargeAnswerBytes ? 1 : 0] += n;
+  peer_answer_bytes_[n > LinkBudget::kLargeAnswerBytes ? 1 : 0] += n;
 }
 
 void MeshMetrics::Observe(CallHop hop, const std::string& route,
