Connections that end without an answer are counted and logged

Each is now a line "connection-cut" and a count in cumin_connections_cut_total{from,reason}.

Found on the way: a handler that threw left its caller without any answer, the connection open (co_spawn with detached drops the exception). It is answered with 500 now, which promises nothing. TestHandlerThatThrowsIsAnsweredFor did not end (60 s) with the exception passed on as before.

--- a/modules/cumin_daemon/mesh_daemon.cc
+++ b/modules/cumin_daemon/mesh_daemon.cc
@@ -39,6 +39,28 @@
   const MeshBoard& board_;
 };
 
+/** Counts and logs the requests that a listener left without an answer. */
+class CutReport final : public HttpListener::Listener {
+ public:
+  /** @param from  whose requests, as on the metrics page */
+  CutReport(MeshBoard& board, const char* from) : board_(board), from_(from) {}
+
+  void OnCut(const ConnectionCut& cut) override {
+    const char* const reason = ToString(cut.reason);
+    board_.metrics.CountCut(from_, reason);
+    board_.log.Write(EventLine("connection-cut")
+                         .With("from", from_)
+                         .With("reason", reason)
+                         .With("detail", cut.detail)
+                         .With("path", cut.path)
+                         .With("after_ms", cut.after));
+  }
+
+ private:
+  MeshBoard& board_;
+  const char* const from_;
+};
+
 }  // namespace
 
 class MeshDaemon::Implementation {
@@ -57,6 +79,8 @@
         ingress_(board, target, peers_),
         peer_handler_(board, target, fleet_, config_),
         readiness_(board),
+        caller_cuts_(board, "callers"),
+        peer_cuts_(board, "peers"),
         caller_listener_(board.executor, ingress_),
         peer_listener_(board.executor, peer_handler_),
         readiness_listener_(board.executor, readiness_),
@@ -64,6 +88,8 @@
     ListenerLimits limits;
     limits.idle_timeout = kPeerIdleTimeout;
     peer_listener_.SetLimits(limits);
+    caller_listener_.SetListener(&caller_cuts_);
+    peer_listener_.SetListener(&peer_cuts_);
     config_.SetOnChange([this] { OnRoutesChanged(); });
   }
 
@@ -180,6 +206,8 @@
   Ingress ingress_;
   PeerHandler peer_handler_;
   ReadinessHandler readiness_;
+  CutReport caller_cuts_;
+  CutReport peer_cuts_;
   HttpListener caller_listener_;
   HttpListener peer_listener_;
   HttpListener readiness_listener_;
--- a/modules/cumin_daemon/mesh_metrics.cc
+++ b/modules/cumin_daemon/mesh_metrics.cc
@@ -88,6 +88,10 @@
   peer_answer_bytes_[n > LinkBudget::kLargeAnswerBytes ? 1 : 0] += n;
 }
 
+void MeshMetrics::CountCut(const char* from, const char* reason) {
+  cuts_[{from, reason}] += 1;
+}
+
 void MeshMetrics::Observe(CallHop hop, const std::string& route,
                           Duration latency) {
   latencies_[{hop, route}].Observe(latency);
@@ -129,6 +133,13 @@
                peer_answer_bytes_[0]);
   text += Line("cumin_peer_answer_bytes_total", MetricLabel("size", "large"),
                peer_answer_bytes_[1]);
+  text += MetricType("cumin_connections_cut_total", "counter");
+  for (const auto& [key, count] : cuts_) {
+    text += Line("cumin_connections_cut_total",
+                 MetricLabel("from", key.first) + "," +
+                     MetricLabel("reason", key.second),
+                 count);
+  }
   text += MetricType("cumin_latency_seconds", "histogram");
   for (const auto& [key, bins] : latencies_) {
     text += bins.Text("cumin_latency_seconds",
--- a/modules/cumin_daemon/mesh_metrics.h
+++ b/modules/cumin_daemon/mesh_metrics.h
@@ -79,6 +79,11 @@
       @param n  bytes */
   void CountPeerAnswer(std::size_t n);
 
+  /** Counts a connection that ended without the whole answer to a request.
+      @param from    "callers" or "peers"
+      @param reason  as in the log */
+  void CountCut(const char* from, const char* reason);
+
   /** Notes the time that a call spent at a hop. */
   void Observe(CallHop hop, const std::string& route, Duration latency);
 
@@ -103,6 +108,7 @@
   std::map<std::pair<std::string, std::string>, std::uint64_t> store_calls_;
   std::map<std::string, std::uint64_t> pushes_;
   std::array<std::uint64_t, 2> peer_answer_bytes_{};
+  std::map<std::pair<std::string, std::string>, std::uint64_t> cuts_;
   std::map<std::pair<CallHop, std::string>, LatencyBins> latencies_;
 };
 
--- a/modules/cumin_http/http_listener.cc
+++ b/modules/cumin_http/http_listener.cc
@@ -9,6 +9,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/intrusive/list.hpp>
+#include <chrono>
+#include <exception>
 
 #include "cumin_http/answer_pacing.h"
 #include "cumin_http/socket_options.h"
@@ -21,11 +23,13 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 using Parser = http::request_parser<http::string_body>;
+using SteadyTime = std::chrono::steady_clock::time_point;
 
 /** Room for the first bytes of a request; most requests fit. */
 constexpr std::size_t kFirstReadBytes = 1024;
 /** Time for a caller to take an answer, beyond which it is taken as gone. */
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
+constexpr int kInternalError = 500;
 /** Pause after a failed accept, for instance without free descriptors. */
 constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
 
@@ -76,6 +80,20 @@
 
 }  // namespace
 
+const char* ToString(CutReason reason) {
+  switch (reason) {
+    case CutReason::kIncompleteRequest:
+      return "incomplete-request";
+    case CutReason::kCallerGone:
+      return "caller-gone";
+    case CutReason::kHandlerFailed:
+      return "handler-failed";
+    case CutReason::kAnswerNotWritten:
+      return "answer-not-written";
+  }
+  return "unknown";
+}
+
 void CallerWatch::NotifyGone() {
   if (is_gone_) {
     return;
@@ -124,6 +142,7 @@
   }
 
   ListenerLimits limits_;
+  HttpListener::Listener* listener_ = nullptr;
   bool closes_after_answers_ = false;
   int busy_ = 0;
 
@@ -202,28 +221,52 @@
       co_return false;
     }
     const BusyMark busy(*this, *connection);
+    const SteadyTime began = std::chrono::steady_clock::now();
     Parser parser;
     const error_code ec = co_await Read(*connection, parser);
+    const std::string path(parser.get().target());
     if (ec) {
       const int status = StatusOf(ec);
       if (status != 0) {
         co_await Write(*connection, PlainAnswer(status), false);
+      } else {
+        NotifyCut(CutReason::kIncompleteRequest, ec.message(), path, began);
       }
       co_return false;
     }
     if (IsClosedByPeer(connection->stream.socket())) {
+      NotifyCut(CutReason::kCallerGone, "", path, began);
       co_return false;
     }
     const bool keep_alive = parser.get().keep_alive();
     CallerWatch caller;
     connection->caller = &caller;
     WatchForHangUp(connection);
-    HttpResponse answer = co_await handler_.Handle(TakeRequest(parser), caller);
+    HttpResponse answer;
+    try {
+      answer = co_await handler_.Handle(TakeRequest(parser), caller);
+    } catch (const std::exception& error) {
+      NotifyCut(CutReason::kHandlerFailed, error.what(), path, began);
+      answer = PlainAnswer(kInternalError);
+    }
     const bool stays = keep_alive && !closes_after_answers_;
-    const bool is_written =
+    const error_code write_ec =
         co_await Write(*connection, std::move(answer), stays);
     connection->caller = nullptr;
-    co_return is_written&& stays;
+    if (write_ec) {
+      NotifyCut(CutReason::kAnswerNotWritten, write_ec.message(), path, began);
+    }
+    co_return !write_ec && stays;
+  }
+
+  void NotifyCut(CutReason reason, const std::string& detail,
+                 const std::string& path, SteadyTime began) {
+    if (listener_ == nullptr) {
+      return;
+    }
+    const auto after = std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now() - began);
+    listener_->OnCut(ConnectionCut{reason, detail, path, after});
   }
 
   Task<bool> WaitForRequest(Connection& connection) {
@@ -261,8 +304,8 @@
     co_return ec;
   }
 
-  Task<bool> Write(Connection& connection, HttpResponse answer,
-                   bool keep_alive) {
+  Task<error_code> Write(Connection& connection, HttpResponse answer,
+                         bool keep_alive) {
     http::response<http::span_body<const char>> message;
     message.version(11);
     message.result(static_cast<unsigned>(answer.status));
@@ -289,7 +332,7 @@
       }
     }
     connection.stream.expires_never();
-    co_return !ec;
+    co_return ec;
   }
 
   /** Writes the body in the parts that its pacing allows. */
@@ -350,6 +393,10 @@
   return implementation_->Start(listen);
 }
 
+void HttpListener::SetListener(Listener* listener) {
+  implementation_->listener_ = listener;
+}
+
 void HttpListener::SetLimits(const ListenerLimits& limits) {
   implementation_->limits_ = limits;
 }
--- a/modules/cumin_http/http_listener.h
+++ b/modules/cumin_http/http_listener.h
@@ -2,9 +2,11 @@
 
 #include <cstddef>
 #include <memory>
+#include <string>
 
 #include "cumin_core/endpoint.h"
 #include "cumin_core/error.h"
+#include "cumin_core/time.h"
 #include "cumin_http/asio.h"
 #include "cumin_http/http_message.h"
 
@@ -66,16 +68,50 @@
   }
 };
 
+/** Why a connection ended without the whole answer to a request. */
+enum class CutReason {
+  /** The request was read in part only. */
+  kIncompleteRequest,
+  /** The caller had closed the connection before the request was handled. */
+  kCallerGone,
+  /** The handler threw; the caller is answered with 500. */
+  kHandlerFailed,
+  /** The answer was not written to its end. */
+  kAnswerNotWritten,
+};
+
+/** @returns the reason in lower case, with dashes */
+const char* ToString(CutReason reason);
+
+/** A connection that ended without the whole answer to a request. */
+struct ConnectionCut {
+  CutReason reason = CutReason::kCallerGone;
+  /** What the system or the handler said. */
+  std::string detail;
+  /** The request's path and query, empty before its header was read. */
+  std::string path;
+  /** Since the first byte of the request was read. */
+  Duration after{0};
+};
+
 /** Serves HTTP/1.1 on one address.
 
     One request at a time on a connection. A request that breaks the protocol
     or a limit is answered with 400, 408, 413 or 431, none of which reached the
     handler, and its connection is closed. A request whose caller has closed the
     connection already reaches no handler either; the handler hears when its
-    caller closes later.
+    caller closes later. A handler that throws is answered for with 500, which
+    leaves open whether the request ran.
 */
 class HttpListener {
  public:
+  /** Hears of requests that got no whole answer. */
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    virtual void OnCut(const ConnectionCut& cut) = 0;
+  };
+
   /** @param executor  of the event loop
       @param handler   answers the requests; outlives the loop */
   HttpListener(const asio::any_io_executor& executor,
@@ -89,6 +125,9 @@
       @returns the bound address, or kUnavailable with the reason */
   Result<Endpoint> Start(const Endpoint& listen);
 
+  /** @param listener  told from now on, or null; outlives the loop */
+  void SetListener(Listener* listener);
+
   /** Replaces the limits; they hold from each connection's next request on. */
   void SetLimits(const ListenerLimits& limits);
 
--- a/tests/http/http_listener_test.cc
+++ b/tests/http/http_listener_test.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <stdexcept>
 
 #include "cumin_http/answer_pacing.h"
 #include "cumin_http/socket_options.h"
@@ -34,6 +35,9 @@
  public:
   Task<HttpResponse> Handle(HttpRequest request, CallerWatch& caller) override {
     calls += 1;
+    if (request.path == "/throw") {
+      throw std::runtime_error("no such luck");
+    }
     if (request.path == "/wait") {
       caller.SetListener(this);
       while (!caller.is_gone()) {
@@ -55,6 +59,19 @@
   void OnCallerGone() override { hang_ups += 1; }
 };
 
+/** Keeps the last cut that it heard of. */
+class CutKeeper final : public HttpListener::Listener {
+ public:
+  void OnCut(const ConnectionCut& cut) override {
+    last = cut;
+    count += 1;
+  }
+
+  /** Of the event loop; read once `count` has changed. */
+  ConnectionCut last;
+  std::atomic<int> count{0};
+};
+
 /** A caller with a plain socket. */
 class RawCaller {
  public:
@@ -89,6 +106,8 @@
   CPPUNIT_TEST(TestLimits);
   CPPUNIT_TEST(TestHangUpIsHeard);
   CPPUNIT_TEST(TestRequestWhoseCallerHasLeftIsNotHandled);
+  CPPUNIT_TEST(TestHandlerThatThrowsIsAnsweredFor);
+  CPPUNIT_TEST(TestRequestCutInTheMiddleIsReported);
   CPPUNIT_TEST(TestPacedAnswerIsBrokenOff);
   CPPUNIT_TEST(TestStopClosesIdleAndLastAnswersSaySo);
   CPPUNIT_TEST_SUITE_END();
@@ -98,6 +117,7 @@
     loop_ = std::make_unique<test::LoopThread>();
     handler_ = std::make_unique<EchoHandler>();
     listener_ = std::make_unique<HttpListener>(loop_->executor(), *handler_);
+    listener_->SetListener(&cuts_);
     bound_ = listener_->Start(Endpoint{"127.0.0.1", 0}).value();
   }
 
@@ -171,6 +191,32 @@
     CPPUNIT_ASSERT_EQUAL(1, handler_->calls.load());
   }
 
+  // Guards against a request that is left without any answer, and without a
+  // word in the logs, when its handler throws.
+  void TestHandlerThatThrowsIsAnsweredFor() {
+    const std::string text =
+        Ask("GET /throw?a HTTP/1.1\r\nHost: x\r\n\r\n"
+            "GET /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, text.find("HTTP/1.1 500 "));
+    CPPUNIT_ASSERT(text.find("/b||") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(1, cuts_.count.load());
+    CPPUNIT_ASSERT(CutReason::kHandlerFailed == cuts_.last.reason);
+    CPPUNIT_ASSERT_EQUAL(std::string("no such luck"), cuts_.last.detail);
+    CPPUNIT_ASSERT_EQUAL(std::string("/throw?a"), cuts_.last.path);
+  }
+
+  // Guards against a connection that ends in the middle of a request and leaves
+  // no trace of it.
+  void TestRequestCutInTheMiddleIsReported() {
+    RawCaller caller(bound_);
+    caller.Send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n12");
+    caller.Close();
+    AwaitEqual(cuts_.count, 1);
+    CPPUNIT_ASSERT(CutReason::kIncompleteRequest == cuts_.last.reason);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a"), cuts_.last.path);
+    CPPUNIT_ASSERT_EQUAL(0, handler_->calls.load());
+  }
+
   void TestPacedAnswerIsBrokenOff() {
     const std::string text = Ask("GET /paced HTTP/1.1\r\nHost: x\r\n\r\n");
     CPPUNIT_ASSERT(text.find("Content-Length: 8\r\n") != std::string::npos);
@@ -202,6 +248,7 @@
 
   std::unique_ptr<test::LoopThread> loop_;
   std::unique_ptr<EchoHandler> handler_;
+  CutKeeper cuts_;
   std::unique_ptr<HttpListener> listener_;
   Endpoint bound_;
 };
