A call that isn't queued yet is expected to wait behind its equals

TargetPort asks for the wait of a call before it offers it, so that the link can refuse the call first. The call had sequence 0 then and counted as the first of its priority: with a long queue of equals the answer was expected too early, and the link admitted answers that came late.

A call is behind all of its equals until the queue has given it a place. DispatchQueueTest::TestCallThatIsNotOfferedYetIsExpectedBehindItsEquals failed before ("before == after").

--- a/modules/cumin_admission/dispatch_queue.h
+++ b/modules/cumin_admission/dispatch_queue.h
@@ -2,6 +2,7 @@
 
 #include <boost/intrusive/set.hpp>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -27,7 +28,9 @@
   MonoTime wanted_by;
   MonoTime queued_at;
   MonoTime started_at;
-  std::uint64_t sequence = 0;
+  /** Place among its equals, set by the queue; behind all of them until then.
+   */
+  std::uint64_t sequence = std::numeric_limits<std::uint64_t>::max();
   /** Its answer will come too late for its full worth; set by the queue. */
   bool is_late = false;
 
@@ -102,8 +105,8 @@
   /** @returns how long a call of the operation is expected to hold a slot */
   Duration ExpectedTime(const std::string& operation, MonoTime now) const;
 
-  /** @returns how long a call is expected to wait behind those that go before
-      it */
+  /** @param call  one that waits, or one that could be offered now
+      @returns how long it is expected to wait behind those that go before it */
   Duration ExpectedWait(const DispatchCall& call, MonoTime now) const;
 
   int in_flight() const { return in_flight_; }
--- a/tests/admission/dispatch_queue_test.cc
+++ b/tests/admission/dispatch_queue_test.cc
@@ -86,6 +86,7 @@
   CPPUNIT_TEST(TestSlotsAreNeverExceeded);
   CPPUNIT_TEST(TestSustainedOverloadKeepsTheTargetBusyAndAnswersInTime);
   CPPUNIT_TEST(TestCallThatCannotEndIsRefusedAtOnce);
+  CPPUNIT_TEST(TestCallThatIsNotOfferedYetIsExpectedBehindItsEquals);
   CPPUNIT_TEST(TestLeavingTargetRefusesWhatWaits);
   CPPUNIT_TEST_SUITE_END();
 
@@ -181,6 +182,39 @@
     CPPUNIT_ASSERT(refusal.retry_after > Duration::zero());
   }
 
+  // Guards against answers that the link admits although the target's queue
+  // makes them late: the wait of a call was asked for before it was offered,
+  // and left out the calls of its own priority.
+  void TestCallThatIsNotOfferedYetIsExpectedBehindItsEquals() {
+    Recorder recorder;
+    DispatchQueue queue(recorder);
+    MonoTime now{std::chrono::hours(1)};
+    queue.SetSlots(1, now);
+    const MonoTime late = now + std::chrono::hours(1);
+    const auto sample = MakeCall(1, late);
+    Refusal refusal;
+    queue.Offer(*sample, now, &refusal);
+    now += 100 * kMs;
+    queue.Finish(*sample, now, true);
+    const auto running = MakeCall(1, late);
+    const auto first = MakeCall(1, late);
+    const auto second = MakeCall(1, late);
+    queue.Offer(*running, now, &refusal);
+    queue.Offer(*first, now, &refusal);
+    queue.Offer(*second, now, &refusal);
+    const auto next = MakeCall(1, late);
+    const auto urgent = MakeCall(0, late);
+    const Duration of_second = queue.ExpectedWait(*second, now);
+    const Duration of_urgent = queue.ExpectedWait(*urgent, now);
+    const Duration before = queue.ExpectedWait(*next, now);
+    queue.Offer(*next, now, &refusal);
+    const Duration after = queue.ExpectedWait(*next, now);
+    queue.RefuseAll(RefusalReason::kShed, "end");
+    CPPUNIT_ASSERT(before == after);
+    CPPUNIT_ASSERT(before > of_second);
+    CPPUNIT_ASSERT(before > of_urgent);
+  }
+
   void TestLeavingTargetRefusesWhatWaits() {
     Recorder recorder;
     DispatchQueue queue(recorder);
