A shutdown answers what has already arrived on its connections

What callers saw: a kept connection that closes without an answer to a request that was sent before the close.

Cause: StopAccepting cancelled the read of every connection without a request under way. A request that had arrived while the event loop was busy was unread then and was reset with its connection. New connections that waited to be accepted went the same way. Then the daemon ended at once, as nothing counted as busy.

Fix: connections that wait to be accepted are accepted, those with unread bytes are left to be read and answered, and the daemon looks for work under way one tick after it has stopped accepting.

Evidence: TestStopAnswersARequestThatWaitsToBeRead and TestStopAnswersAConnectionThatWaitsToBeAccepted hold the loop while the request arrives; both failed before.

--- a/modules/cumin_daemon/mesh_daemon.cc
+++ b/modules/cumin_daemon/mesh_daemon.cc
@@ -148,9 +148,10 @@
     OnAnnouncement();
     fleet_.Leave();
     caller_listener_.StopAccepting();
-    while (board_.clock.Now() < began + grace - kKillMargin && IsBusy()) {
+    do {
+      // Requests that have arrived count as busy once they have been read.
       co_await SleepFor(kTick);
-    }
+    } while (board_.clock.Now() < began + grace - kKillMargin && IsBusy());
     board_.log.Write(
         EventLine("stopped")
             .With("after_ms", board_.clock.Now() - began)
--- a/modules/cumin_http/http_listener.cc
+++ b/modules/cumin_http/http_listener.cc
@@ -132,10 +132,12 @@
 
   void StopAccepting() {
     closes_after_answers_ = true;
+    AcceptWaiting();
     error_code ignored;
     acceptor_.close(ignored);
     for (Connection& it : connections_) {
-      if (!it.is_busy) {
+      // What has arrived on a connection is still read and answered.
+      if (!it.is_busy && !HasUnexpectedInput(it.stream.socket())) {
         it.stream.cancel();
       }
     }
@@ -196,13 +198,31 @@
         co_await SleepFor(kAcceptPause);
         continue;
       }
-      SetSilenceLimits(socket, SilenceLimits{});
-      auto connection = std::make_shared<Connection>(std::move(socket));
-      connections_.push_back(*connection);
-      asio::co_spawn(executor_, Serve(self, connection), asio::detached);
+      Open(std::move(socket));
     }
   }
 
+  /** Accepts the connections that have been established so far. */
+  void AcceptWaiting() {
+    error_code ec;
+    acceptor_.non_blocking(true, ec);
+    while (!ec) {
+      asio::ip::tcp::socket socket(executor_);
+      acceptor_.accept(socket, ec);
+      if (!ec) {
+        Open(std::move(socket));
+      }
+    }
+  }
+
+  void Open(asio::ip::tcp::socket socket) {
+    SetSilenceLimits(socket, SilenceLimits{});
+    auto connection = std::make_shared<Connection>(std::move(socket));
+    connections_.push_back(*connection);
+    asio::co_spawn(executor_, Serve(shared_from_this(), connection),
+                   asio::detached);
+  }
+
   Task<void> Serve([[maybe_unused]] Self self, ConnectionPtr connection) {
     bool stays_open = true;
     while (stays_open) {
@@ -273,7 +293,8 @@
     if (connection.buffer.size() > 0) {
       co_return true;
     }
-    if (closes_after_answers_ && !acceptor_.is_open()) {
+    const bool is_stopped = closes_after_answers_ && !acceptor_.is_open();
+    if (is_stopped && !HasUnexpectedInput(connection.stream.socket())) {
       co_return false;
     }
     connection.buffer.clear();
--- a/modules/cumin_http/http_listener.h
+++ b/modules/cumin_http/http_listener.h
@@ -135,7 +135,8 @@
   void CloseAfterAnswers();
 
   /** Stops accepting and closes the idle connections; those with a request
-      under way end with its answer. */
+      under way end with its answer. What had arrived by then, on a connection
+      or as a new one, is still read and answered. */
   void StopAccepting();
 
   /** @returns connections with a request that is read or worked on */
--- a/tests/http/http_listener_test.cc
+++ b/tests/http/http_listener_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <stdexcept>
 
@@ -91,6 +92,14 @@
     return text;
   }
 
+  /** @param end  the last characters of an answer
+      @returns what arrives until then */
+  std::string ReadUntil(const std::string& end) {
+    std::string text;
+    asio::read_until(socket_, asio::dynamic_buffer(text), end);
+    return text;
+  }
+
   void Close() { socket_.close(); }
 
  private:
@@ -110,6 +119,8 @@
   CPPUNIT_TEST(TestRequestCutInTheMiddleIsReported);
   CPPUNIT_TEST(TestPacedAnswerIsBrokenOff);
   CPPUNIT_TEST(TestStopClosesIdleAndLastAnswersSaySo);
+  CPPUNIT_TEST(TestStopAnswersARequestThatWaitsToBeRead);
+  CPPUNIT_TEST(TestStopAnswersAConnectionThatWaitsToBeAccepted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -233,6 +244,35 @@
     CPPUNIT_ASSERT(text.find("/first||") != std::string::npos);
   }
 
+  // Guards against a shutdown that closes a kept connection although the next
+  // request has arrived on it, while the event loop was busy.
+  void TestStopAnswersARequestThatWaitsToBeRead() {
+    RawCaller caller(bound_);
+    caller.Send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+    caller.ReadUntil("/first||");
+    loop_->Post([&] {
+      caller.Send("GET /second HTTP/1.1\r\nHost: x\r\n\r\n");
+      listener_->StopAccepting();
+    });
+    const std::string text = caller.ReadAll();
+    CPPUNIT_ASSERT(text.find("/second||") != std::string::npos);
+    CPPUNIT_ASSERT(text.find("Connection: close") != std::string::npos);
+  }
+
+  // Guards against a shutdown that resets a connection whose request has
+  // arrived before the event loop came to accept it.
+  void TestStopAnswersAConnectionThatWaitsToBeAccepted() {
+    std::unique_ptr<RawCaller> caller;
+    loop_->Post([&] {
+      caller = std::make_unique<RawCaller>(bound_);
+      caller->Send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+      listener_->StopAccepting();
+    });
+    const std::string text = caller->ReadAll();
+    CPPUNIT_ASSERT(text.find("/first||") != std::string::npos);
+    CPPUNIT_ASSERT(text.find("Connection: close") != std::string::npos);
+  }
+
  private:
   std::string Ask(const std::string& text) {
     RawCaller caller(bound_);
