An idle timeout doesn't drop a request that has arrived

What callers saw: a kept connection that closes without an answer to a request which was sent in time.

Cause: the idle timeout was a timer of the pending read (beast::tcp_stream). When the event loop is late by more than what is left of the limit, the read and the timer complete together, the timer's handler runs first, and the stream is closed with the bytes that had been read from it.

Fix: idle connections are looked through twice a second and closed only when no bytes wait on them. It also saves a timer for each request. An idle connection is closed up to half a second after its limit, which no caller can mind.

--- a/modules/cumin_http/http_listener.cc
+++ b/modules/cumin_http/http_listener.cc
@@ -30,6 +30,8 @@
 /** Time for a caller to take an answer, beyond which it is taken as gone. */
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 constexpr int kInternalError = 500;
+/** How often idle connections are looked through. */
+constexpr Duration kIdleSweepPeriod = std::chrono::milliseconds(500);
 /** Pause after a failed accept, for instance without free descriptors. */
 constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
 
@@ -127,6 +129,7 @@
                    "cannot listen: " + ec.message()};
     }
     asio::co_spawn(executor_, Accept(shared_from_this()), asio::detached);
+    asio::co_spawn(executor_, SweepIdle(shared_from_this()), asio::detached);
     return Endpoint{listen.address, acceptor_.local_endpoint().port()};
   }
 
@@ -136,10 +139,7 @@
     error_code ignored;
     acceptor_.close(ignored);
     for (Connection& it : connections_) {
-      // What has arrived on a connection is still read and answered.
-      if (!it.is_busy && !HasUnexpectedInput(it.stream.socket())) {
-        it.stream.cancel();
-      }
+      CloseIfIdle(it);
     }
   }
 
@@ -157,6 +157,7 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    SteadyTime idle_since;
     /** The caller of the request under way. */
     CallerWatch* caller = nullptr;
     bool is_busy = false;
@@ -202,6 +203,29 @@
     }
   }
 
+  /** Ends a connection without a request; what has arrived on it is still read
+      and answered. */
+  static void CloseIfIdle(Connection& connection) {
+    if (!connection.is_busy &&
+        !HasUnexpectedInput(connection.stream.socket())) {
+      connection.stream.cancel();
+    }
+  }
+
+  /** Closes connections that have been idle for too long. A timer of each read
+      would also drop a request that arrived while the event loop was late. */
+  Task<void> SweepIdle([[maybe_unused]] Self self) {
+    while (acceptor_.is_open()) {
+      co_await SleepFor(kIdleSweepPeriod);
+      const SteadyTime now = std::chrono::steady_clock::now();
+      for (Connection& it : connections_) {
+        if (now - it.idle_since >= limits_.idle_timeout) {
+          CloseIfIdle(it);
+        }
+      }
+    }
+  }
+
   /** Accepts the connections that have been established so far. */
   void AcceptWaiting() {
     error_code ec;
@@ -299,7 +323,8 @@
     }
     connection.buffer.clear();
     connection.buffer.shrink_to_fit();
-    connection.stream.expires_after(limits_.idle_timeout);
+    connection.idle_since = std::chrono::steady_clock::now();
+    connection.stream.expires_never();
     error_code ec;
     const std::size_t n = co_await connection.stream.async_read_some(
         connection.buffer.prepare(kFirstReadBytes),
--- a/tests/http/http_listener_test.cc
+++ b/tests/http/http_listener_test.cc
@@ -121,6 +121,8 @@
   CPPUNIT_TEST(TestStopClosesIdleAndLastAnswersSaySo);
   CPPUNIT_TEST(TestStopAnswersARequestThatWaitsToBeRead);
   CPPUNIT_TEST(TestStopAnswersAConnectionThatWaitsToBeAccepted);
+  CPPUNIT_TEST(TestRequestThatArrivedBeforeTheIdleTimeoutIsAnswered);
+  CPPUNIT_TEST(TestIdleConnectionIsClosed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -273,6 +275,35 @@
     CPPUNIT_ASSERT(text.find("Connection: close") != std::string::npos);
   }
 
+  // Guards against an idle timeout that closes a connection on which a request
+  // has arrived, while the event loop was busy.
+  void TestRequestThatArrivedBeforeTheIdleTimeoutIsAnswered() {
+    ListenerLimits limits;
+    limits.idle_timeout = std::chrono::milliseconds(20);
+    loop_->Post([&] { listener_->SetLimits(limits); });
+    RawCaller caller(bound_);
+    caller.Send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+    caller.ReadUntil("/first||");
+    loop_->Post([&] {
+      caller.Send("GET /second HTTP/1.1\r\nHost: x\r\n\r\n");
+      std::this_thread::sleep_for(2 * limits.idle_timeout);
+    });
+    const std::string text = caller.ReadAll();
+    CPPUNIT_ASSERT(text.find("/second||") != std::string::npos);
+  }
+
+  void TestIdleConnectionIsClosed() {
+    ListenerLimits limits;
+    limits.idle_timeout = std::chrono::milliseconds(20);
+    loop_->Post([&] { listener_->SetLimits(limits); });
+    RawCaller fresh(bound_);
+    RawCaller kept(bound_);
+    kept.Send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+    kept.ReadUntil("/first||");
+    CPPUNIT_ASSERT_EQUAL(std::string(), kept.ReadAll());
+    CPPUNIT_ASSERT_EQUAL(std::string(), fresh.ReadAll());
+  }
+
  private:
   std::string Ask(const std::string& text) {
     RawCaller caller(bound_);
