The lateness of the event loop is on the metrics page

To tell whether connects and exchanges that end by their limit do so because the other end is late or because this process is: cumin_loop_lag_seconds, and a line loop-late from 0.1 s on, the limit of a connect inside a region.

--- a/modules/cumin_daemon/mesh_daemon.cc
+++ b/modules/cumin_daemon/mesh_daemon.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
+/** Timers that are later than this end exchanges inside a region too early. */
+constexpr Duration kLongLag = std::chrono::milliseconds(100);
 constexpr Duration kLogFlush = std::chrono::milliseconds(100);
 constexpr Duration kIdleSweep = std::chrono::seconds(1);
 /** Callers are told not to come by two readiness answers, a second apart; until
@@ -168,7 +170,9 @@
   Task<void> TickForever() {
     MonoTime next_flush = board_.clock.Now();
     while (true) {
+      const MonoTime due = board_.clock.Now() + kTick;
       co_await SleepFor(kTick);
+      NoteLag(board_.clock.Now() - due);
       target_.Tick();
       if (board_.clock.Now() >= next_flush) {
         board_.log.Flush();
@@ -177,6 +181,14 @@
     }
   }
 
+  void NoteLag(MonoTime::duration behind) {
+    const auto lag = std::chrono::duration_cast<Duration>(behind);
+    board_.metrics.ObserveLoopLag(lag);
+    if (lag >= kLongLag) {
+      board_.log.Write(EventLine("loop-late").With("by_ms", lag));
+    }
+  }
+
   Task<void> SweepForever() {
     while (true) {
       co_await SleepFor(kIdleSweep);
--- a/modules/cumin_daemon/mesh_metrics.cc
+++ b/modules/cumin_daemon/mesh_metrics.cc
@@ -49,6 +49,7 @@
 std::string LatencyBins::Text(const std::string& name,
                               const std::string& labels) const {
   const auto& axis = bins_.axis(0);
+  const std::string before_edge = labels.empty() ? "" : labels + ",";
   std::string text;
   // What lies below the first edge counts in every bin.
   std::uint64_t count = bins_.at(-1);
@@ -56,11 +57,11 @@
     count += bins_.at(i);
     std::ostringstream edge;
     edge << axis.bin(i).upper();
-    text +=
-        Line(name + "_bucket", labels + ",le=\"" + edge.str() + "\"", count);
+    text += Line(name + "_bucket", before_edge + "le=\"" + edge.str() + "\"",
+                 count);
   }
   count += bins_.at(axis.size());
-  text += Line(name + "_bucket", labels + ",le=\"+Inf\"", count);
+  text += Line(name + "_bucket", before_edge + "le=\"+Inf\"", count);
   text +=
       name + "_sum{" + labels + "} " + std::to_string(ToSeconds(sum_)) + "\n";
   text += Line(name + "_count", labels, count);
@@ -92,6 +93,8 @@
   cuts_[{from, reason}] += 1;
 }
 
+void MeshMetrics::ObserveLoopLag(Duration lag) { loop_lag_.Observe(lag); }
+
 void MeshMetrics::Observe(CallHop hop, const std::string& route,
                           Duration latency) {
   latencies_[{hop, route}].Observe(latency);
@@ -140,6 +143,8 @@
                      MetricLabel("reason", key.second),
                  count);
   }
+  text += MetricType("cumin_loop_lag_seconds", "histogram");
+  text += loop_lag_.Text("cumin_loop_lag_seconds", "");
   text += MetricType("cumin_latency_seconds", "histogram");
   for (const auto& [key, bins] : latencies_) {
     text += bins.Text("cumin_latency_seconds",
--- a/modules/cumin_daemon/mesh_metrics.h
+++ b/modules/cumin_daemon/mesh_metrics.h
@@ -37,7 +37,7 @@
   void Observe(Duration latency);
 
   /** @param name    of the metric
-      @param labels  inside the braces, without a comma at the end
+      @param labels  inside the braces, without a comma at the end; may be empty
       @returns the lines `_bucket`, `_sum` and `_count` of the exposition
       format; the sum is in seconds */
   std::string Text(const std::string& name, const std::string& labels) const;
@@ -84,6 +84,9 @@
       @param reason  as in the log */
   void CountCut(const char* from, const char* reason);
 
+  /** Notes how late the event loop came to a timer. */
+  void ObserveLoopLag(Duration lag);
+
   /** Notes the time that a call spent at a hop. */
   void Observe(CallHop hop, const std::string& route, Duration latency);
 
@@ -109,6 +112,7 @@
   std::map<std::string, std::uint64_t> pushes_;
   std::array<std::uint64_t, 2> peer_answer_bytes_{};
   std::map<std::pair<std::string, std::string>, std::uint64_t> cuts_;
+  LatencyBins loop_lag_;
   std::map<std::pair<CallHop, std::string>, LatencyBins> latencies_;
 };
 
--- a/tests/daemon/mesh_metrics_test.cc
+++ b/tests/daemon/mesh_metrics_test.cc
@@ -25,12 +25,19 @@
     metrics.CountPush("failed");
     metrics.CountPeerAnswer(100);
     metrics.CountPeerAnswer(90000);
+    metrics.CountCut("callers", "caller-gone");
+    metrics.ObserveLoopLag(std::chrono::milliseconds(300));
     const std::string page = metrics.Text();
     for (const char* const it :
          {"# TYPE cumin_answers_total counter\n",
           "cumin_answers_total{status=\"503\"} 2\n",
           "cumin_calls_total{hop=\"target\",verdict=\"not-run\","
           "reason=\"shed\"} 1\n",
+          "cumin_connections_cut_total{from=\"callers\",reason=\"caller-gone\"}"
+          " "
+          "1\n",
+          "cumin_loop_lag_seconds_bucket{le=\"0.1\"} 0\n",
+          "cumin_loop_lag_seconds_count{} 1\n",
           "cumin_retries_total{allowed=\"no\"} 1\n",
           "cumin_config_pushes_total{result=\"failed\"} 1\n",
           "cumin_peer_answer_bytes_total{size=\"small\"} 100\n",
