--- a/modules/cumin_daemon/fleet_agent.cc
+++ b/modules/cumin_daemon/fleet_agent.cc
@@ -1,7 +1,6 @@
 #include "cumin_daemon/fleet_agent.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "cumin_core/json_object.h"
@@ -62,8 +61,6 @@
   // then the peers' gossip raises it.
   self.incarnation =
       static_cast<std::uint64_t>(ToUnixMillis(board.clock.WallNow()));
-  // Rounded up, as 0 would be a link without a limit.
-  self.link_mbps = static_cast<int>(std::ceil(board.settings.link_mbps));
   return self;
 }
 
--- a/modules/cumin_daemon/mesh_settings.cc
+++ b/modules/cumin_daemon/mesh_settings.cc
@@ -4,13 +4,13 @@
 #include <iterator>
 
 #include "cumin_core/yaml_object.h"
-#include "cumin_fleet/member.h"
 
 namespace cumin {
 
 namespace {
 
 constexpr double kMaxSeconds = 3600;
+constexpr double kMaxLinkMbps = 1e6;
 
 Endpoint ReadEndpoint(YamlObject& root, const std::string& field) {
   const Result<Endpoint> endpoint = ParseEndpoint(root.RequiredString(field));
--- a/modules/cumin_fleet/fleet_codec.cc
+++ b/modules/cumin_fleet/fleet_codec.cc
@@ -66,9 +66,6 @@
   if (member.target) {
     value["t"] = ToJson(*member.target);
   }
-  if (member.link_mbps != 0) {
-    value["l"] = member.link_mbps;
-  }
   return value;
 }
 
@@ -85,14 +82,6 @@
   if (fields.Has("t")) {
     member.target = ReadTarget(fields.Object("t"));
   }
-  if (fields.Has("l")) {
-    const std::uint64_t mbps = fields.Unsigned("l");
-    if (mbps > static_cast<std::uint64_t>(kMaxLinkMbps)) {
-      fields.Fail("l", "must be from 0 to 1000000");
-    } else {
-      member.link_mbps = static_cast<int>(mbps);
-    }
-  }
   return member;
 }
 
--- a/modules/cumin_fleet/member.cc
+++ b/modules/cumin_fleet/member.cc
@@ -86,9 +86,6 @@
   if (member.incarnation == 0 || member.incarnation >= kMaxIncarnation) {
     return Impossible(member, "incarnation", "must be from 1 to 2^53 - 1");
   }
-  if (member.link_mbps < 0 || member.link_mbps > kMaxLinkMbps) {
-    return Impossible(member, "link_mbps", "must be from 0 to 1000000");
-  }
   return member.target ? CheckTarget(member) : Ok();
 }
 
--- a/modules/cumin_fleet/member.h
+++ b/modules/cumin_fleet/member.h
@@ -59,21 +59,16 @@
   MemberState state = MemberState::kAlive;
   /** The target on its VM, when one has announced itself. */
   std::optional<AnnouncedTarget> target;
-  /** Rate of its VM's link in Mbit/s, 0 when it isn't limited. */
-  int link_mbps = 0;
 
   friend bool operator==(const Member& a, const Member& b) {
     return a.vm == b.vm && a.endpoint == b.endpoint && a.region == b.region &&
            a.failure_domain == b.failure_domain &&
            a.incarnation == b.incarnation && a.state == b.state &&
-           a.target == b.target && a.link_mbps == b.link_mbps;
+           a.target == b.target;
   }
   friend bool operator!=(const Member& a, const Member& b) { return !(a == b); }
 };
 
-/** The fastest link that is accepted, in Mbit/s. */
-constexpr int kMaxLinkMbps = 1000000;
-
 /** The highest incarnation that is accepted; JSON numbers hold it exactly. */
 constexpr std::uint64_t kMaxIncarnation = 1ULL << 53U;
 
--- a/modules/cumin_fleet/spread_plan.cc
+++ b/modules/cumin_fleet/spread_plan.cc
@@ -1,10 +1,7 @@
 #include "cumin_fleet/spread_plan.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <string>
-#include <tuple>
 #include <utility>
 
 #include "cumin_core/stable_hash.h"
@@ -14,32 +11,22 @@
 namespace {
 
 struct RankedMember {
-  int link_class = 0;
   std::uint64_t hash = 0;
   VmId vm;
 
   friend bool operator<(const RankedMember& a, const RankedMember& b) {
-    return std::tie(b.link_class, a.hash, a.vm) <
-           std::tie(a.link_class, b.hash, b.vm);
+    return a.hash != b.hash ? a.hash < b.hash : a.vm < b.vm;
   }
 };
 
-/** @returns a number that grows by one each time the link's rate doubles */
-int LinkClass(int mbps) {
-  return mbps == 0 ? std::numeric_limits<int>::max() : std::ilogb(mbps);
-}
-
-/** Fast links first, as those who come first carry most of a change; among
-    alike links by rendezvous hashing: each member's place depends on it and the
-    key alone, so a member that comes or goes moves no other. */
-std::vector<VmId> OrderByLink(const std::vector<VmId>& members,
-                              const std::map<VmId, Member>& known,
+/** Rendezvous hashing: each member's place depends on it and the key alone, so
+    a member that comes or goes moves no other. */
+std::vector<VmId> OrderByHash(const std::vector<VmId>& members,
                               const std::string& key) {
   std::vector<RankedMember> ranked;
   ranked.reserve(members.size());
   for (const VmId& it : members) {
-    ranked.push_back({LinkClass(known.at(it).link_mbps),
-                      StableHash(key + "|" + it.str()), it});
+    ranked.push_back({StableHash(key + "|" + it.str()), it});
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<VmId> ordered;
@@ -127,7 +114,7 @@
   const Member& top = root_member->second;
   const std::string key = "tree|" + std::to_string(version);
   for (const auto& it : domains_.at(top.region)) {
-    std::vector<VmId> line = OrderByLink(it.second, members_, key);
+    std::vector<VmId> line = OrderByHash(it.second, key);
     if (it.first == top.failure_domain) {
       const auto place = std::find(line.begin(), line.end(), root);
       std::rotate(line.begin(), place, place + 1);
@@ -161,12 +148,12 @@
   std::vector<VmId> first_of_each;
   std::size_t longest = 0;
   for (const auto& it : domains) {
-    lines.push_back(OrderByLink(it.second, members_, "fetch"));
+    lines.push_back(OrderByHash(it.second, "fetch"));
     first_of_each.push_back(lines.back().front());
     longest = std::max(longest, lines.back().size());
   }
   // Domains take turns in the order of their first members.
-  const std::vector<VmId> turns = OrderByLink(first_of_each, members_, "turn");
+  const std::vector<VmId> turns = OrderByHash(first_of_each, "turn");
   std::sort(lines.begin(), lines.end(), [&](const auto& a, const auto& b) {
     return std::find(turns.begin(), turns.end(), a.front()) <
            std::find(turns.begin(), turns.end(), b.front());
--- a/modules/cumin_fleet/spread_plan.h
+++ b/modules/cumin_fleet/spread_plan.h
@@ -23,7 +23,6 @@
 
     Computed alike by every daemon from its live members: who watches the
     store, who sends across each region link, and a tree inside each region.
-    VMs with fast links watch and pass on, those with slow links mostly take.
     Members that a stale table leaves out are repaired by anti-entropy.
     Immutable.
 */
