Trial: a change applies to any version between its ends, checked by a digest

A change starts from an older version here and is applied to any later one; a digest of the routes tells when a route that changed and changed back makes the result differ, and the whole table is pulled then.

What makes daemons pull isn't the start of the change alone; not traced further.

--- a/modules/cumin_config/route_delta.cc
+++ b/modules/cumin_config/route_delta.cc
@@ -70,6 +70,7 @@
 RouteDelta MakeRouteDelta(const RouteTable* from, const RouteTable& to) {
   RouteDelta delta;
   delta.to = to.version();
+  delta.digest = to.digest();
   delta.services = to.services();
   delta.limits = to.limits();
   if (from == nullptr) {
@@ -100,9 +101,11 @@
   document.services = delta.services;
   document.limits = delta.limits;
   if (delta.from != 0) {
-    if (base == nullptr || base->version() != delta.from) {
+    if (base == nullptr || base->version() < delta.from ||
+        base->version() >= delta.to) {
       return Error{ErrorCode::kConflict, "", 0, "from",
-                   "starts from version " + std::to_string(delta.from)};
+                   "leads from version " + std::to_string(delta.from) + " to " +
+                       std::to_string(delta.to)};
     }
     std::set<std::string> replaced(delta.removed.begin(), delta.removed.end());
     for (const Route& it : delta.changed) {
@@ -116,13 +119,20 @@
   }
   document.routes.insert(document.routes.end(), delta.changed.begin(),
                          delta.changed.end());
-  return RouteTable::Make(std::move(document), "peer");
+  Result<RefPtr<const RouteTable>> table =
+      RouteTable::Make(std::move(document), "peer");
+  if (table && table.value()->digest() != delta.digest) {
+    return Error{ErrorCode::kConflict, "peer", 0, "digest",
+                 "the change leads to other routes here"};
+  }
+  return table;
 }
 
 std::string EncodeRouteDelta(const RouteDelta& delta) {
   Json::Value value;
   value["from"] = Json::UInt64{delta.from};
   value["to"] = Json::UInt64{delta.to};
+  value["digest"] = Json::UInt64{delta.digest};
   value["changed"] = Json::Value(Json::arrayValue);
   for (const Route& it : delta.changed) {
     value["changed"].append(ToJson(it));
@@ -154,6 +164,7 @@
   RouteDelta delta;
   delta.from = fields.Unsigned("from");
   delta.to = fields.Unsigned("to");
+  delta.digest = fields.Unsigned("digest");
   for (JsonObject& it : fields.Objects("changed", kMaxRoutes)) {
     delta.changed.push_back(ReadRoute(it));
   }
