--- a/modules/cumin_config/route_delta.cc
+++ b/modules/cumin_config/route_delta.cc
@@ -70,7 +70,6 @@
 RouteDelta MakeRouteDelta(const RouteTable* from, const RouteTable& to) {
   RouteDelta delta;
   delta.to = to.version();
-  delta.digest = to.digest();
   delta.services = to.services();
   delta.limits = to.limits();
   if (from == nullptr) {
@@ -101,11 +100,9 @@
   document.services = delta.services;
   document.limits = delta.limits;
   if (delta.from != 0) {
-    if (base == nullptr || base->version() < delta.from ||
-        base->version() >= delta.to) {
+    if (base == nullptr || base->version() != delta.from) {
       return Error{ErrorCode::kConflict, "", 0, "from",
-                   "leads from version " + std::to_string(delta.from) + " to " +
-                       std::to_string(delta.to)};
+                   "starts from version " + std::to_string(delta.from)};
     }
     std::set<std::string> replaced(delta.removed.begin(), delta.removed.end());
     for (const Route& it : delta.changed) {
@@ -119,20 +116,13 @@
   }
   document.routes.insert(document.routes.end(), delta.changed.begin(),
                          delta.changed.end());
-  Result<RefPtr<const RouteTable>> table =
-      RouteTable::Make(std::move(document), "peer");
-  if (table && table.value()->digest() != delta.digest) {
-    return Error{ErrorCode::kConflict, "peer", 0, "digest",
-                 "the change leads to other routes here"};
-  }
-  return table;
+  return RouteTable::Make(std::move(document), "peer");
 }
 
 std::string EncodeRouteDelta(const RouteDelta& delta) {
   Json::Value value;
   value["from"] = Json::UInt64{delta.from};
   value["to"] = Json::UInt64{delta.to};
-  value["digest"] = Json::UInt64{delta.digest};
   value["changed"] = Json::Value(Json::arrayValue);
   for (const Route& it : delta.changed) {
     value["changed"].append(ToJson(it));
@@ -164,7 +154,6 @@
   RouteDelta delta;
   delta.from = fields.Unsigned("from");
   delta.to = fields.Unsigned("to");
-  delta.digest = fields.Unsigned("digest");
   for (JsonObject& it : fields.Objects("changed", kMaxRoutes)) {
     delta.changed.push_back(ReadRoute(it));
   }
--- a/modules/cumin_config/route_delta.h
+++ b/modules/cumin_config/route_delta.h
@@ -12,12 +12,9 @@
 
 /** What changed between two versions of the routes. */
 struct RouteDelta {
-  /** The oldest version that it applies to; 0 when it holds the whole document.
-   */
+  /** The version that it applies to; 0 when it holds the whole document. */
   std::uint64_t from = 0;
   std::uint64_t to = 0;
-  /** RouteTable::digest of what it leads to. */
-  std::uint64_t digest = 0;
   /** Routes that are new or differ. */
   std::vector<Route> changed;
   /** Names of routes that are gone. */
@@ -30,12 +27,11 @@
     `from` is null */
 RouteDelta MakeRouteDelta(const RouteTable* from, const RouteTable& to);
 
-/** Applies a change to the version that it starts from, or to a later one: what
-    changed in between is part of it, unless it changed back.
+/** Applies a change.
     @param base   the table in force; may be null
     @param delta  the change
-    @returns the new table; kConflict when the base is older or when the result
-    has another digest, kInvalid when the result is not valid as a whole */
+    @returns the new table; kConflict when the change starts from another
+    version, kInvalid when the result is not valid as a whole */
 Result<RefPtr<const RouteTable>> ApplyRouteDelta(const RouteTable* base,
                                                  const RouteDelta& delta);
 
--- a/modules/cumin_config/route_table.cc
+++ b/modules/cumin_config/route_table.cc
@@ -4,8 +4,6 @@
 #include <set>
 #include <utility>
 
-#include "cumin_core/stable_hash.h"
-
 namespace cumin {
 
 namespace {
@@ -59,37 +57,6 @@
   return {};
 }
 
-void AppendText(std::string* bytes, const std::string& text) {
-  bytes->append(text);
-  bytes->push_back('\0');
-}
-
-/** Appends a number alike on every kind of machine. */
-void AppendNumber(std::string* bytes, std::uint64_t number) {
-  constexpr unsigned kByteBits = 8;
-  for (unsigned shift = 0; shift < 64; shift += kByteBits) {
-    bytes->push_back(static_cast<char>(number >> shift));
-  }
-}
-
-/** @param bytes  room to build in, reused */
-std::uint64_t HashRoute(const Route& route, std::string* bytes) {
-  bytes->clear();
-  AppendText(bytes, route.name);
-  AppendText(bytes, route.host);
-  AppendText(bytes, route.prefix);
-  AppendNumber(bytes, static_cast<std::uint64_t>(route.kind));
-  AppendNumber(bytes, static_cast<std::uint64_t>(route.attempts));
-  AppendNumber(bytes, static_cast<std::uint64_t>(route.timeout.count()));
-  AppendNumber(bytes, static_cast<std::uint64_t>(route.target_latency.count()));
-  AppendNumber(bytes, static_cast<std::uint64_t>(route.priority));
-  for (const WeightedService& it : route.services) {
-    AppendText(bytes, it.service.str());
-    AppendNumber(bytes, static_cast<std::uint64_t>(it.weight));
-  }
-  return StableHash(*bytes);
-}
-
 }  // namespace
 
 const char* ToString(RouteKind kind) {
@@ -134,10 +101,8 @@
 
 RouteTable::RouteTable(RouteDocument document)
     : document_(std::move(document)) {
-  std::string bytes;
   for (std::uint32_t i = 0; i < document_.routes.size(); ++i) {
     by_host_[document_.routes[i].host].push_back(i);
-    digest_ += HashRoute(document_.routes[i], &bytes);
   }
   for (auto& [host, indices] : by_host_) {
     std::sort(indices.begin(), indices.end(),
--- a/modules/cumin_config/route_table.h
+++ b/modules/cumin_config/route_table.h
@@ -108,10 +108,6 @@
   const std::vector<Route>& routes() const { return document_.routes; }
   const std::vector<ServiceId>& services() const { return document_.services; }
 
-  /** @returns a number that is equal on every VM for the same routes, in
-      whichever order */
-  std::uint64_t digest() const { return digest_; }
-
   /** Finds the route of the host with the longest prefix that begins the path.
       @param host  without a port, in lower case
       @returns the route, or null */
@@ -127,7 +123,6 @@
   RouteDocument document_;
   /** Indices of routes by host, the longest prefix first. */
   std::unordered_map<std::string, std::vector<std::uint32_t>> by_host_;
-  std::uint64_t digest_ = 0;
 };
 
 }  // namespace cumin
--- a/modules/cumin_daemon/config_agent.cc
+++ b/modules/cumin_daemon/config_agent.cc
@@ -12,10 +12,6 @@
 constexpr std::size_t kPeersToBeReady = 3;
 /** Versions kept to make deltas from. */
 constexpr std::size_t kRecentVersions = 4;
-/** A pushed change starts from an older version than the last, so that it also
-    helps those who missed some, as long as it names at most this many routes.
- */
-constexpr std::size_t kMaxPushedRoutes = 64;
 /** Of a change between daemons, as text. */
 constexpr std::size_t kMaxDeltaBytes = std::size_t{16} << 20U;
 constexpr Duration kWatchLength = std::chrono::seconds(10);
@@ -108,37 +104,17 @@
 const std::string& ConfigAgent::DeltaFrom(std::uint64_t version) {
   const RouteTable* base = nullptr;
   for (const RefPtr<const RouteTable>& it : recent_) {
-    if (it->version() <= version) {
+    if (it->version() == version) {
       base = it.get();
     }
   }
-  std::string& bytes = deltas_[base == nullptr ? 0 : base->version()];
+  std::string& bytes = deltas_[base == nullptr ? 0 : version];
   if (bytes.empty()) {
     bytes = Compress(EncodeRouteDelta(MakeRouteDelta(base, *board_.routes)));
   }
   return bytes;
 }
 
-const std::string& ConfigAgent::PushedDelta() {
-  if (!pushed_delta_.empty()) {
-    return pushed_delta_;
-  }
-  RouteDelta widest;
-  for (auto it = recent_.rbegin() + 1; it < recent_.rend(); ++it) {
-    RouteDelta delta = MakeRouteDelta(it->get(), *board_.routes);
-    const std::size_t n = delta.changed.size() + delta.removed.size();
-    if (widest.to != 0 && n > kMaxPushedRoutes) {
-      break;
-    }
-    widest = std::move(delta);
-  }
-  if (widest.to == 0) {
-    widest = MakeRouteDelta(nullptr, *board_.routes);
-  }
-  pushed_delta_ = Compress(EncodeRouteDelta(widest));
-  return pushed_delta_;
-}
-
 std::uint64_t ConfigAgent::InForce() const {
   return board_.routes ? board_.routes->version() : 0;
 }
@@ -255,26 +231,16 @@
 }
 
 Task<bool> ConfigAgent::PullFrom(Endpoint peer) {
-  Result<bool> taken = co_await PullChange(peer, InForce());
-  if (!taken && taken.error().code == ErrorCode::kConflict) {
-    taken = co_await PullChange(peer, 0);
-  }
-  co_return taken&& taken.value();
-}
-
-Task<Result<bool>> ConfigAgent::PullChange(Endpoint peer, std::uint64_t have) {
   HttpRequest request;
   request.path = kPullPath;
-  request.query = std::to_string(have);
+  request.query = std::to_string(InForce());
   const Result<HttpResponse> answer =
       co_await peers_.Send(peer, std::move(request), kPeerTimeout);
-  if (!answer) {
-    co_return answer.error();
-  }
-  if (answer.value().body.empty()) {
+  if (!answer || answer.value().body.empty()) {
     co_return false;
   }
-  co_return TakeDelta(answer.value().body, "pull");
+  const Result<bool> taken = TakeDelta(answer.value().body, "pull");
+  co_return taken&& taken.value();
 }
 
 bool ConfigAgent::IsOnDuty() {
@@ -311,7 +277,6 @@
   HearOf(table->version());
   board_.routes = table;
   deltas_.clear();
-  pushed_delta_.clear();
   in_force_since_ = board_.clock.Now();
   recent_.push_back(table);
   if (recent_.size() > kRecentVersions) {
@@ -340,8 +305,7 @@
   const Result<RefPtr<const RouteTable>> table =
       ApplyRouteDelta(board_.routes.get(), delta.value());
   if (!table) {
-    const bool is_expected = table.error().field == "from";
-    if (!is_expected) {
+    if (table.error().code != ErrorCode::kConflict) {
       board_.log.Write(
           EventLine("config-refused").With("error", Describe(table.error())));
     }
@@ -450,8 +414,10 @@
   if (!board_.routes) {
     co_return false;
   }
+  const std::uint64_t before =
+      recent_.size() > 1 ? recent_[recent_.size() - 2]->version() : 0;
   std::string query = board_.settings.vm.str() + "&" + root.str();
-  std::string body = PushedDelta();
+  std::string body = DeltaFrom(before);
   const MonoTime sent_at = board_.clock.Now();
   const std::uint64_t version = InForce();
   const auto n = static_cast<std::int64_t>(body.size());
--- a/modules/cumin_daemon/config_agent.h
+++ b/modules/cumin_daemon/config_agent.h
@@ -88,12 +88,7 @@
   Task<void> WatchForever();
   Task<bool> WatchOnce();
   Task<void> RepairForever();
-  /** Pulls what is newer than the version in force.
-      @returns whether a newer version was taken */
   Task<bool> PullFrom(Endpoint peer);
-  /** @param have  the version that the change may start from, 0 for the whole
-      table */
-  Task<Result<bool>> PullChange(Endpoint peer, std::uint64_t have);
   bool IsOnDuty();
   VersionStamp Ours() const;
   /** Reads the source's text and takes it.
@@ -113,12 +108,10 @@
   Task<void> PushTo(VmId child, VmId root);
   Task<bool> Push(VmId child, VmId root);
   void CheckReady();
-  /** @param version  that the change will be applied to
+  /** @param version  from which the change starts, if it is a recent one
       @returns the change to the version in force, compressed; the whole table
-      when the version is older than the recent ones */
+      when the version is not recent */
   const std::string& DeltaFrom(std::uint64_t version);
-  /** @returns the change that children are sent, compressed */
-  const std::string& PushedDelta();
   /** Somebody has this version, or had it. */
   void HearOf(std::uint64_t version);
 
@@ -136,8 +129,6 @@
   /** Compressed changes to the version in force, by where they start; the same
       one goes to several peers. */
   std::map<std::uint64_t, std::string> deltas_;
-  /** The change that children are sent, or empty before the first. */
-  std::string pushed_delta_;
   MonoTime in_force_since_;
   std::uint64_t watched_revision_ = 0;
   std::function<void()> on_change_;
