--- a/modules/cumin_daemon/mesh_daemon.cc
+++ b/modules/cumin_daemon/mesh_daemon.cc
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
-/** Timers that are later than this end exchanges inside a region too early. */
+/** An event loop that is late by this much keeps callers waiting. */
 constexpr Duration kLongLag = std::chrono::milliseconds(100);
 constexpr Duration kLogFlush = std::chrono::milliseconds(100);
 constexpr Duration kIdleSweep = std::chrono::seconds(1);
--- a/modules/cumin_http/http_listener.cc
+++ b/modules/cumin_http/http_listener.cc
@@ -157,7 +157,7 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
-    SteadyTime idle_since;
+    SteadyTime idle_since = std::chrono::steady_clock::now();
     /** The caller of the request under way. */
     CallerWatch* caller = nullptr;
     bool is_busy = false;
