The second transport doesn't take a target's earlier answer for the next call

What callers saw, as reported by other operators: a target wrote an earlier refusal once more on a kept connection, and the next call on it was told "not run" although the target had run it, and went to a second target.

Cause: cumind (cumin_proxy over cxxtools) keeps connections to its target for calls that may be repeated, and the library takes whatever bytes come first for the answer. Calls that must not run twice went over fresh connections already.

Fix: each call to the target beside the daemon has a connection of its own. The library offers no way to look for unread bytes.

Before, the library's second try on the kept connection gave it the time. The daemon looks several times within 50 ms: 0 of 18 runs.

The other report, an answer cut in its head, can't happen here: TestAnswerCutInItsHeadIsNotDelivered, green before.

--- a/modules/cumin_proxy/connection_pool.cc
+++ b/modules/cumin_proxy/connection_pool.cc
@@ -11,7 +11,7 @@
 }  // namespace
 
 ConnectionPool::ConnectionPool(const Clock& clock, MetricRegistry& metrics,
-                               std::optional<std::string> probe_path)
+                               std::string probe_path)
     : clock_(clock),
       probe_path_(std::move(probe_path)),
       probes_(metrics.GetCounter("connection_probes_total")),
@@ -74,12 +74,9 @@
 }
 
 bool ConnectionPool::Probe(Connection& connection) {
-  if (!probe_path_) {
-    return false;
-  }
   probes_.Add();
   HttpRequest request;
-  request.path = *probe_path_;
+  request.path = probe_path_;
   const Result<HttpResponse> response = connection.client->Exchange(
       request, ConnectionHealth::ProbeTimeout(), ConnectionUse::kMayReuse);
   if (!response) {
--- a/modules/cumin_proxy/connection_pool.h
+++ b/modules/cumin_proxy/connection_pool.h
@@ -24,11 +24,9 @@
  public:
   /** @param clock       outlives this object
       @param metrics     outlives this object
-      @param probe_path  what to get for a probe; nothing when the servers have
-                         no such path, then doubtful connections are replaced
-   */
+      @param probe_path  what to get for a probe */
   ConnectionPool(const Clock& clock, MetricRegistry& metrics,
-                 std::optional<std::string> probe_path);
+                 std::string probe_path);
 
   /** Runs one exchange.
       @param server         where to send it
@@ -60,7 +58,7 @@
   void NoteTimeout(const Connection& connection, MonoTime sent_at);
 
   const Clock& clock_;
-  std::optional<std::string> probe_path_;
+  const std::string probe_path_;
   Counter& probes_;
   Counter& replaced_;
   std::mutex mutex_;
--- a/modules/cumin_proxy/target_client.cc
+++ b/modules/cumin_proxy/target_client.cc
@@ -2,27 +2,46 @@
 
 #include <cxxtools/net/tcpsocket.h>
 
+#include <thread>
+
 #include "cumin_core/tracing.h"
 #include "cumin_proxy/call_headers.h"
 #include "cumin_routing/call_deadline.h"
+#include "cumin_rpc/http_client.h"
 
 namespace cumin {
 
 namespace {
 
+constexpr int kEndChecks = 6;
+constexpr Duration kEndCheckPause = std::chrono::milliseconds(10);
+
 /** The target states itself that it shed the call before running it. */
 bool SaysNotRun(const HttpResponse& response) {
   return response.headers.Get(kVerdictHeader) == ToString(Verdict::kNotRun);
 }
 
-/** @returns true when nothing listens at the address any more */
-bool HasEnded(const Endpoint& target) {
+bool IsListening(const Endpoint& target) {
   try {
     const cxxtools::net::TcpSocket socket(target.address, target.port);
-    return false;
-  } catch (const std::exception&) {
     return true;
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
+/** @returns true when nothing listens at the address any more, or soon after: a
+    process that ends closes its connections and its listener one by one */
+bool HasEnded(const Endpoint& target) {
+  for (int i = 0; i < kEndChecks; ++i) {
+    if (i > 0) {
+      std::this_thread::sleep_for(kEndCheckPause);
+    }
+    if (!IsListening(target)) {
+      return true;
+    }
   }
+  return false;
 }
 
 CallResult FromError(const Error& error, const Call& call,
@@ -45,7 +64,6 @@
 
 TargetClient::TargetClient(Blackboard& board)
     : board_(board),
-      pool_(board.clock, board.metrics, std::nullopt),
       runs_(board.metrics.GetCounter("target_runs_total")),
       lost_(board.metrics.GetCounter("target_outcomes_unknown_total")) {}
 
@@ -84,8 +102,11 @@
   request.headers.Set(
       kDeadlineHeader,
       std::to_string(CallDeadline(call.deadline).NextHopMillis(now)));
+  // On a kept connection, what a faulty target wrote beyond its last answer
+  // would be taken for the answer to this call.
+  HttpClient client(target.endpoint);
   const Result<HttpResponse> response =
-      pool_.Exchange(target.endpoint, request, left, call.repeatability);
+      client.Exchange(request, left, ConnectionUse::kFreshOnly);
   if (!response) {
     return FromError(response.error(), call, target, board_.clock.Now());
   }
--- a/modules/cumin_proxy/target_client.h
+++ b/modules/cumin_proxy/target_client.h
@@ -2,11 +2,11 @@
 
 #include "cumin_proxy/blackboard.h"
 #include "cumin_proxy/call.h"
-#include "cumin_proxy/connection_pool.h"
 
 namespace cumin {
 
-/** Hands calls to the target on this VM over HTTP. */
+/** Hands calls to the target on this VM over HTTP, each on a connection of its
+    own. */
 class TargetClient {
  public:
   /** @param board  outlives this object */
@@ -23,7 +23,6 @@
                       const std::string& trace_parent);
 
   Blackboard& board_;
-  ConnectionPool pool_;
   Counter& runs_;
   Counter& lost_;
 };
--- a/tests/rpc/http_test.cc
+++ b/tests/rpc/http_test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(TestReusedPostIsSentTwiceByTheLibrary);
   CPPUNIT_TEST(TestReusedConnectionNeverReportsNotSent);
   CPPUNIT_TEST(TestTruncatedAnswerIsNotDelivered);
+  CPPUNIT_TEST(TestAnswerCutInItsHeadIsNotDelivered);
   CPPUNIT_TEST(TestOversizeBodyIsRefused);
   CPPUNIT_TEST(TestPoolReusesConnections);
   CPPUNIT_TEST(TestJsonRpcRoundTrip);
@@ -135,6 +136,21 @@
     }
   }
 
+  // Guards against a 200 with an empty body, framed as whole, for an answer
+  // whose head was cut.
+  void TestAnswerCutInItsHeadIsNotDelivered() {
+    const std::string whole =
+        "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Id: a\r\n\r\nhello, world";
+    for (std::size_t n = 1; n < whole.size(); ++n) {
+      test::RawServer server(whole.substr(0, n));
+      HttpClient client(server.endpoint());
+      const auto response =
+          client.Exchange(MakePost("b"), kTimeout, ConnectionUse::kFreshOnly);
+      CPPUNIT_ASSERT_MESSAGE(whole.substr(0, n), !response);
+      CPPUNIT_ASSERT(response.error().code == ErrorCode::kOutcomeUnknown);
+    }
+  }
+
   void TestOversizeBodyIsRefused() {
     EchoHandler handler;
     HttpServerOptions options;
