Logs and metrics tell repeats of one request from other calls

Cause: an attempt has an id of its own, so two attempts of one request could not be linked in the logs, and an operator could not tell a request that crashes its targets from targets that fail by themselves. Change: owner-dispatched carries a fingerprint of the caller's service, method, host, path, query and body; cumin_target_exchanges_total counts the ends of exchanges with the target. No decision changes.

--- a/modules/cumin_admission/suspect_table.cc
+++ b/modules/cumin_admission/suspect_table.cc
@@ -1,6 +1,8 @@
 #include "cumin_admission/suspect_table.h"
 
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 
 #include "cumin_core/stable_hash.h"
 
@@ -13,6 +15,12 @@
 
 }  // namespace
 
+std::string ToString(const RequestFingerprint& fingerprint) {
+  std::ostringstream text;
+  text << std::hex << std::setw(16) << std::setfill('0') << fingerprint.value;
+  return text.str();
+}
+
 RequestFingerprint MakeFingerprint(const ServiceId& service,
                                    const CustomerId& customer,
                                    const OperationId& operation,
--- a/modules/cumin_admission/suspect_table.h
+++ b/modules/cumin_admission/suspect_table.h
@@ -26,6 +26,9 @@
   }
 };
 
+/** @returns 16 hexadecimal digits */
+std::string ToString(const RequestFingerprint& fingerprint);
+
 /** @param key      the caller's idempotency key; if empty, the content is
                     hashed instead
     @param content  the request's path, query and body */
--- a/modules/cumin_daemon/mesh_call.cc
+++ b/modules/cumin_daemon/mesh_call.cc
@@ -2,8 +2,24 @@
 
 #include <utility>
 
+#include "cumin_core/stable_hash.h"
+
 namespace cumin {
 
+RequestFingerprint FingerprintOf(const MeshCall& call) {
+  const HttpRequest& request = call.request;
+  std::string text;
+  for (const std::string& it :
+       {call.caller.str(), request.method, request.headers.Get("Host"),
+        request.path, request.query}) {
+    text += it;
+    text += '\0';
+  }
+  // A body may be long; its hash takes its place in the text.
+  text += std::to_string(StableHash(request.body));
+  return RequestFingerprint{StableHash(text)};
+}
+
 CallOutcome FailedOutcome(Verdict verdict, RefusalReason reason,
                           std::string detail, Duration retry_after) {
   CallOutcome outcome;
--- a/modules/cumin_daemon/mesh_call.h
+++ b/modules/cumin_daemon/mesh_call.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "cumin_admission/suspect_table.h"
 #include "cumin_config/route_table.h"
 #include "cumin_core/target_load.h"
 #include "cumin_core/verdict.h"
@@ -43,6 +44,11 @@
   bool has_load = false;
 };
 
+/** @returns the fingerprint of the caller's request: of its method, host, path,
+    query and body and the service that sent it. It does not depend on the
+    attempt, the daemon or the target. */
+RequestFingerprint FingerprintOf(const MeshCall& call);
+
 /** @returns an outcome without a response */
 CallOutcome FailedOutcome(Verdict verdict, RefusalReason reason,
                           std::string detail,
--- a/modules/cumin_daemon/mesh_metrics.cc
+++ b/modules/cumin_daemon/mesh_metrics.cc
@@ -79,6 +79,10 @@
   retries_[was_allowed ? 1 : 0] += 1;
 }
 
+void MeshMetrics::CountTargetExchange(const char* end) {
+  target_exchanges_[end] += 1;
+}
+
 void MeshMetrics::CountStoreCall(const char* kind, const char* result) {
   store_calls_[{kind, result}] += 1;
 }
@@ -119,6 +123,11 @@
                      retries_[0]);
   text += MetricLine("cumin_retries_total", MetricLabel("allowed", "yes"),
                      retries_[1]);
+  text += MetricType("cumin_target_exchanges_total", "counter");
+  for (const auto& [end, count] : target_exchanges_) {
+    text += MetricLine("cumin_target_exchanges_total", MetricLabel("end", end),
+                       count);
+  }
   text += MetricType("cumin_store_calls_total", "counter");
   for (const auto& [key, count] : store_calls_) {
     text += MetricLine("cumin_store_calls_total",
--- a/modules/cumin_daemon/mesh_metrics.h
+++ b/modules/cumin_daemon/mesh_metrics.h
@@ -66,6 +66,10 @@
       @param was_allowed  false when the retry budget was exhausted */
   void CountRetry(bool was_allowed);
 
+  /** Counts an exchange with the target.
+      @param end  as in the log, e.g. "broken" */
+  void CountTargetExchange(const char* end);
+
   /** Counts a call to the store.
       @param kind    operation, lower case
       @param result  its error's name, or "ok" */
@@ -108,6 +112,7 @@
   std::map<int, std::uint64_t> answers_;
   std::map<OutcomeKey, std::uint64_t> outcomes_;
   std::array<std::uint64_t, 2> retries_{};
+  std::map<std::string, std::uint64_t> target_exchanges_;
   std::map<std::pair<std::string, std::string>, std::uint64_t> store_calls_;
   std::map<std::string, std::uint64_t> pushes_;
   std::array<std::uint64_t, 2> peer_answer_bytes_{};
--- a/modules/cumin_daemon/target_dispatcher.cc
+++ b/modules/cumin_daemon/target_dispatcher.cc
@@ -249,8 +249,10 @@
                    .With("instance", context_.announcements.last()->instance)
                    .With("end", ToString(result.end))
                    .With("reason", result.reason)
+                   .With("fingerprint", ToString(FingerprintOf(call)))
                    .With("left_ms", call.deadline - now),
                context_.clock.Now());
+  context_.metrics.CountTargetExchange(ToString(result.end));
   co_return ClassifyResult(std::move(result));
 }
 
