Test: a request that crashes its targets is sent to ever more of them

Test support: FaultProxy can refuse connections, as if the server's process had ended. A child process no longer inherits the sockets of the test; one that did kept a listener open that the test had closed.

--- /dev/null
+++ b/tests/platform/crashing_request_test.cc
@@ -0,0 +1,121 @@
+#include <thread>
+
+#include "platform/mesh_fixture.h"
+
+namespace cumin::platform {
+
+namespace {
+
+/** Two copies may run before the first crash is known; the third is alone. */
+constexpr int kMaxCrashes = 3;
+constexpr int kRepeats = 10;
+constexpr std::size_t kTargets = 5;
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
+
+/** Targets that crash under a certain request, beside daemon processes. */
+class CrashingRequestTest : public MeshFixture {
+  CPPUNIT_TEST_SUITE(CrashingRequestTest);
+  CPPUNIT_TEST(TestIdempotentRequestThatCrashesTargetsIsStopped);
+  CPPUNIT_TEST(TestAtMostOnceRequestThatCrashesTargetsIsStopped);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a request that crashes its targets being sent to one target
+  // after another.
+  void TestIdempotentRequestThatCrashesTargetsIsStopped() {
+    StartMesh("idempotent");
+    for (int i = 0; i < kRepeats; ++i) {
+      (void)Call(Caller(i), "/p1/crash");
+      RestartCrashedTargets();
+      AwaitAnswer(Caller(i), "/p1/healthy", kStatusOk);
+    }
+    CheckIsStopped();
+  }
+
+  // As above, for a request that may be sent to one target in each attempt.
+  void TestAtMostOnceRequestThatCrashesTargetsIsStopped() {
+    StartMesh("non_idempotent");
+    for (int i = 0; i < kRepeats; ++i) {
+      (void)Call(Caller(i), "/p1/crash");
+      RestartCrashedTargets();
+      AwaitAnswer(Caller(i), "/p1/healthy", kStatusOk);
+    }
+    CheckIsStopped();
+  }
+
+ private:
+  /** Starts targets in two regions, and two daemons of callers. */
+  void StartMesh(const std::string& kind) {
+    SetConfiguration(MakeConfiguration(1, kind));
+    uses_target_links_ = true;
+    for (std::size_t i = 0; i < kTargets; ++i) {
+      StartVm("svc", std::nullopt, i % 2 == 0 ? "r" : "far");
+    }
+    StartVm("caller");
+    StartVm("caller", std::nullopt, "far");
+    for (std::size_t i = 0; i < kTargets; ++i) {
+      Vm& vm = *vms_[i];
+      loop_->Post([&vm] {
+        vm.handler.work = std::chrono::milliseconds(20);
+        vm.handler.on_crash = [&vm] {
+          vm.target_link->SetFault(test::LinkFault::kRefused);
+          vm.is_target_down = true;
+        };
+      });
+      Announce(vm, "ready", 1);
+    }
+    for (int i = 0; i < 2; ++i) {
+      AwaitAnswer(Caller(i), "/p1/healthy", kStatusOk);
+    }
+  }
+
+  const Vm& Caller(int i) const {
+    return *vms_[kTargets + static_cast<std::size_t>(i % 2)];
+  }
+
+  /** Starts the crashed targets again, under their former names. */
+  void RestartCrashedTargets() {
+    for (std::size_t i = 0; i < kTargets; ++i) {
+      Vm& vm = *vms_[i];
+      bool was_down = false;
+      loop_->Post([&] {
+        was_down = vm.is_target_down;
+        if (was_down) {
+          vm.target_link->SetFault(test::LinkFault::kNone);
+          vm.is_target_down = false;
+          vm.target_start_ms += 1;
+        }
+      });
+      if (was_down) {
+        Announce(vm, "ready", 1);
+      }
+    }
+  }
+
+  int Crashes() {
+    int crashes = 0;
+    loop_->Post([&] {
+      for (std::size_t i = 0; i < kTargets; ++i) {
+        crashes += vms_[i]->handler.crashes;
+      }
+    });
+    return crashes;
+  }
+
+  void CheckIsStopped() {
+    const int crashes = Crashes();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(crashes) + " targets crashed",
+                           crashes >= 1 && crashes <= kMaxCrashes);
+    const HttpResponse answer = Call(Caller(0), "/p1/crash");
+    CPPUNIT_ASSERT_EQUAL(kStatusUnavailable, answer.status);
+    CPPUNIT_ASSERT(answer.headers.Has("Retry-After"));
+    CPPUNIT_ASSERT_EQUAL(crashes, Crashes());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashingRequestTest);
+
+}  // namespace
+
+}  // namespace cumin::platform
--- a/tests/platform/mesh_fixture.h
+++ b/tests/platform/mesh_fixture.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <fstream>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -14,6 +15,7 @@
 
 #include "cumin_http/http_connection_pool.h"
 #include "cumin_http/http_listener.h"
+#include "soak/fault_proxy.h"
 #include "standins/platform_store/platform_store_standin.h"
 #include "standins/platform_store/platform_texts.h"
 #include "support/child_process.h"
@@ -23,13 +25,18 @@
 
 namespace cumin::platform {
 
-/** Fake target: echoes the path and body of the request, with a digest. */
+/** Fake target: echoes the path and body of the request, with a digest. A
+    request under kCrashPath crashes it while on_crash is set. */
 class TargetHandler final : public HttpRequestHandler {
  public:
   Task<HttpResponse> Handle(HttpRequest request,
                             CallerWatch& /*caller*/) override {
     runs += 1;
     last = request;
+    if (on_crash && request.path.find(kCrashPath) != std::string::npos) {
+      crashes += 1;
+      on_crash();
+    }
     if (work > Duration::zero()) {
       co_await SleepFor(work);
     }
@@ -45,7 +52,12 @@
     co_return response;
   }
 
+  static constexpr char kCrashPath[] = "/crash";
+
   int runs = 0;
+  /** Number of requests that crashed the target. */
+  int crashes = 0;
+  std::function<void()> on_crash;
   Duration work{0};
   std::size_t min_answer_bytes = 0;
   int status = 200;
@@ -90,6 +102,11 @@
   std::unique_ptr<HttpListener> store_listener;
   TargetHandler handler;
   std::unique_ptr<HttpListener> listener;
+  /** Set when the target is reached through a proxy. */
+  std::unique_ptr<test::FaultProxy> target_link;
+  bool is_target_down = false;
+  /** Start time that the target announces. */
+  int target_start_ms = 1000;
   std::unique_ptr<test::ChildProcess> daemon;
 };
 
@@ -159,6 +176,11 @@
     loop_->Post([&] {
       const Endpoint any{"127.0.0.1", 0};
       addresses.target = vm->listener->Start(any).value();
+      if (uses_target_links_) {
+        vm->target_link = std::make_unique<test::FaultProxy>(loop_->executor(),
+                                                             addresses.target);
+        addresses.target = vm->target_link->Start().value();
+      }
       addresses.store = vm->store_listener->Start(any).value();
     });
     std::ofstream(dir_.File(addresses.vm + ".yaml"))
@@ -207,8 +229,9 @@
     HttpRequest request;
     request.method = "PUT";
     request.path = test::AnnouncementPath(instance);
-    request.body = test::MakeAnnouncementText(
-        vm.addresses, test::AnnouncementText{instance, state, sequence});
+    test::AnnouncementText text{instance, state, sequence};
+    text.start_time_ms = vm.target_start_ms;
+    request.body = test::MakeAnnouncementText(vm.addresses, text);
     return Send(vm.addresses.announcements, request).status;
   }
 
@@ -270,6 +293,8 @@
   std::unique_ptr<test::PlatformStoreStandin> store_;
   std::unique_ptr<HttpConnectionPool> pool_;
   std::vector<std::unique_ptr<Vm>> vms_;
+  /** VMs started from now on reach their targets through a proxy. */
+  bool uses_target_links_ = false;
   /** Extra settings lines for VMs started from now on. */
   std::string extra_settings_;
   std::atomic<int> next_attempt_{0};
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -54,6 +54,8 @@
       return "silent";
     case LinkFault::kOneWay:
       return "one-way";
+    case LinkFault::kRefused:
+      return "refused";
   }
   return "";
 }
@@ -65,16 +67,12 @@
       : executor_(executor), acceptor_(executor), destination_(std::move(to)) {}
 
   Result<Endpoint> Start() {
-    boost::system::error_code ec;
-    acceptor_.open(tcp::v4(), ec);
-    acceptor_.bind({asio::ip::address_v4::loopback(), 0}, ec);
-    acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    const boost::system::error_code ec = Listen(0);
     if (ec) {
       return Error{ErrorCode::kUnavailable, "", 0, "", ec.message()};
     }
-    asio::co_spawn(executor_, AcceptForever(shared_from_this()),
-                   asio::detached);
-    return Endpoint{"127.0.0.1", acceptor_.local_endpoint().port()};
+    port_ = acceptor_.local_endpoint().port();
+    return Endpoint{"127.0.0.1", port_};
   }
 
   void Stop() {
@@ -86,8 +84,13 @@
   void SetFault(LinkFault fault) {
     const bool held_bytes =
         fault_ == LinkFault::kSilent || fault_ == LinkFault::kOneWay;
+    const bool was_refused = fault_ == LinkFault::kRefused;
     fault_ = fault;
-    if (fault == LinkFault::kReset || held_bytes) {
+    if (fault == LinkFault::kRefused) {
+      Stop();
+    } else if (was_refused) {
+      (void)Listen(port_);
+    } else if (fault == LinkFault::kReset || held_bytes) {
       ResetAll();
     }
   }
@@ -95,6 +98,20 @@
  private:
   using Self = std::shared_ptr<Implementation>;
 
+  /** @param port  0 picks a free one */
+  boost::system::error_code Listen(std::uint16_t port) {
+    boost::system::error_code ec;
+    acceptor_.open(tcp::v4(), ec);
+    acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
+    acceptor_.bind({asio::ip::address_v4::loopback(), port}, ec);
+    acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    if (!ec) {
+      asio::co_spawn(executor_, AcceptForever(shared_from_this()),
+                     asio::detached);
+    }
+    return ec;
+  }
+
   static Task<void> AcceptForever(Self self) {
     while (self->acceptor_.is_open()) {
       boost::system::error_code ec;
@@ -178,6 +195,7 @@
   asio::any_io_executor executor_;
   tcp::acceptor acceptor_;
   const Endpoint destination_;
+  std::uint16_t port_ = 0;
   LinkFault fault_ = LinkFault::kNone;
   std::list<std::weak_ptr<Relay>> relays_;
 };
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -20,6 +20,9 @@
   /** Bytes from the connecting side pass; those in the other direction are
       held back. */
   kOneWay,
+  /** Open connections are reset and new ones refused, as if the server's
+      process had ended. */
+  kRefused,
 };
 
 /** @returns the fault's name in lower case, with hyphens */
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -29,6 +29,8 @@
     posix_spawn_file_actions_init(&actions_);
     RedirectToFile(STDOUT_FILENO, output_path);
     RedirectToFile(STDERR_FILENO, output_path + ".err");
+    // A socket that a child inherits stays open when the test closes it.
+    posix_spawn_file_actions_addclosefrom_np(&actions_, STDERR_FILENO + 1);
     posix_spawnattr_init(&attributes_);
     sigset_t empty_mask;
     sigemptyset(&empty_mask);
