One odd entry no longer hides the others of its list

What operators saw: another writer's entry among those of the upstreams, and daemons that ended or stopped following the list.

Cause: ReadItems read a page of the store as a whole, so one entry of another form failed the read; keys went into the query unescaped, so a key with a space or an ampersand made every further page unreadable, and a daemon that starts joined nobody. Numbers far out of range were converted without a check (a duration of 1e300 s, a start time past 2^43 ms, slots beyond an int), which is undefined.

The stand-in of the store decodes escaped queries.

--- a/modules/cumin_daemon/hop_codec.cc
+++ b/modules/cumin_daemon/hop_codec.cc
@@ -15,6 +15,8 @@
 constexpr char kSuspicionField[] = "Cumin-Suspicion";
 constexpr int kKinds = 3;
 constexpr int kOutcomeStatus = 200;
+/** Far beyond the time budget of any call. */
+constexpr Duration kMaxDuration = std::chrono::hours(24);
 
 Error MalformedField(const char* field) {
   return Error{ErrorCode::kProtocol, "peer", 0, field, "is malformed"};
@@ -49,6 +51,11 @@
   return records.value().front();
 }
 
+bool IsInRange(Duration::rep microseconds) {
+  return microseconds >= -kMaxDuration.count() &&
+         microseconds <= kMaxDuration.count();
+}
+
 Duration Remaining(MonoTime until, MonoTime now) {
   return std::chrono::duration_cast<Duration>(until - now);
 }
@@ -77,7 +84,8 @@
   Duration::rep wanted_by_us = 0;
   hop >> call.attempt >> service >> caller >> call.route >> kind >>
       call.priority >> deadline_us >> wanted_by_us;
-  if (!hop || kind < 0 || kind >= kKinds) {
+  const bool is_timely = IsInRange(deadline_us) && IsInRange(wanted_by_us);
+  if (!hop || kind < 0 || kind >= kKinds || !is_timely) {
     return MalformedField(kHopField);
   }
   call.service = ServiceId(service);
@@ -127,7 +135,9 @@
   text >> verdict >> reason >> reached_target >> retry_after_us >> has_load >>
       outcome.load.in_flight >> outcome.load.queued >>
       outcome.load.usable_slots >> leaving >> mean_time_us >> link_wait_us;
-  if (!text || !ParseVerdict(verdict, &outcome.verdict)) {
+  const bool are_in_range = IsInRange(retry_after_us) &&
+                            IsInRange(mean_time_us) && IsInRange(link_wait_us);
+  if (!text || !are_in_range || !ParseVerdict(verdict, &outcome.verdict)) {
     return MalformedField(kOutcomeField);
   }
   outcome.refusal.verdict = outcome.verdict;
--- a/modules/cumin_daemon/peer_discovery.cc
+++ b/modules/cumin_daemon/peer_discovery.cc
@@ -117,8 +117,19 @@
     co_return false;
   }
   std::vector<Endpoint> contacts;
+  for (const Error& it : listed.value().skipped) {
+    context_.log.Write(
+        EventLine("contact-skipped").With("error", Describe(it)));
+  }
   for (const StoreItem& it : listed.value().items) {
     const Result<Endpoint> endpoint = ParseEndpoint(it.value);
+    if (!endpoint) {
+      // The value may be long or unprintable.
+      context_.log.Write(
+          EventLine("contact-skipped")
+              .With("key", it.key)
+              .With("bytes", static_cast<std::int64_t>(it.value.size())));
+    }
     if (endpoint && endpoint.value() != context_.settings.peers) {
       contacts.push_back(endpoint.value());
     }
--- a/modules/cumin_fleet/fleet_codec.cc
+++ b/modules/cumin_fleet/fleet_codec.cc
@@ -1,5 +1,6 @@
 #include "cumin_fleet/fleet_codec.h"
 
+#include <algorithm>
 #include <string>
 
 namespace cumin {
@@ -11,6 +12,9 @@
 constexpr std::size_t kMaxMembers = 8192;
 constexpr int kStates = 4;
 constexpr int kTargetStates = 3;
+constexpr std::int64_t kMaxSlots = 100000;
+/** Longer than any outage that the receiver distinguishes. */
+constexpr std::int64_t kMaxStoreQuietMs = 86400000;
 
 Endpoint ReadEndpoint(JsonObject& fields, const std::string& field) {
   const Result<Endpoint> endpoint =
@@ -46,7 +50,12 @@
   AnnouncedTarget target;
   target.service = fields.Name<ServiceId>("n", kMaxNameBytes);
   target.endpoint = ReadEndpoint(fields, "e");
-  target.slots = static_cast<int>(fields.Int("c"));
+  const std::int64_t slots = fields.Int("c");
+  if (slots < 0 || slots > kMaxSlots) {
+    fields.Fail("c", "must be from 0 to 100000");
+  } else {
+    target.slots = static_cast<int>(slots);
+  }
   target.state = ReadEnum<TargetState>(fields, "s", kTargetStates);
   return target;
 }
@@ -129,10 +138,12 @@
   message.in_force.version = fields.Unsigned("c");
   message.in_force.digest = fields.String("h", kMaxDigestBytes);
   message.known_version = fields.Unsigned("p");
-  message.store_quiet = std::chrono::milliseconds(fields.Int("q"));
-  if (message.store_quiet < Duration::zero()) {
+  const std::int64_t quiet_ms = fields.Int("q");
+  if (quiet_ms < 0) {
     fields.Fail("q", "must not be negative");
   }
+  message.store_quiet = std::chrono::milliseconds(
+      std::clamp<std::int64_t>(quiet_ms, 0, kMaxStoreQuietMs));
   message.table_digest = fields.Unsigned("m");
   if (fields.Has("x")) {
     message.quarantine_digest = fields.Unsigned("x");
--- a/modules/cumin_store/async_store.h
+++ b/modules/cumin_store/async_store.h
@@ -26,6 +26,8 @@
   std::vector<StoreItem> items;
   /** Store revision of the result; pass it to Watch(). */
   std::uint64_t as_of = 0;
+  /** Why entries that could not be read were left out, one error for each. */
+  std::vector<Error> skipped;
 };
 
 /** Consistency of a read. */
--- a/tests/standins/platform_store/platform_store_standin.cc
+++ b/tests/standins/platform_store/platform_store_standin.cc
@@ -20,6 +20,21 @@
   return response;
 }
 
+std::string PercentDecode(const std::string& text) {
+  constexpr int kHexBase = 16;
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 3 <= text.size()) {
+      decoded += static_cast<char>(
+          std::stoi(text.substr(i + 1, 2), nullptr, kHexBase));
+      i += 2;
+    } else {
+      decoded += text[i];
+    }
+  }
+  return decoded;
+}
+
 /** @returns the value of a query parameter, or "" when it is absent */
 std::string QueryParameter(const std::string& query, const std::string& name) {
   const std::string text = "&" + query;
@@ -28,7 +43,7 @@
     return "";
   }
   const std::size_t from = at + name.size() + 2;
-  return text.substr(from, text.find('&', from) - from);
+  return PercentDecode(text.substr(from, text.find('&', from) - from));
 }
 
 std::uint64_t ParseNumber(const std::string& text) {
