A request that can't end before the process exits is refused or answered

What callers saw: in a planned stop, a request that was read late in the grace period was passed on to a target, also one that runs at most once, and its connection was closed without an answer when the process exited.

Cause: the ingress did not know when its process exits. A request whose last bytes arrived after the listener had stopped accepting was handled like any other, and a call's deadline could lie behind the exit.

Change: the shutdown sets the time of the exit. Calls end 200 ms before it at the latest, so that their callers get an answer. Once the daemon accepts no new calls, a call that may last longer is refused as not run, with a Retry-After; one that fits is served.

--- a/modules/cumin_daemon/daemon_context.h
+++ b/modules/cumin_daemon/daemon_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "cumin_admission/announcement_tracker.h"
 #include "cumin_admission/suspect_table.h"
@@ -54,6 +55,8 @@
   bool is_shutting_down = false;
   /** This daemon accepts no new calls. */
   bool is_draining = false;
+  /** When the process exits at the latest; set by the shutdown. */
+  std::optional<MonoTime> exit_at;
   /** The routes are recent enough to serve, according to ReadinessRule. */
   bool ready = false;
 };
--- a/modules/cumin_daemon/ingress.cc
+++ b/modules/cumin_daemon/ingress.cc
@@ -24,6 +24,11 @@
 constexpr int kMaxTargetsTried = 4;
 /** With less time than this another target is not tried. */
 constexpr Duration kMinRetryTime = std::chrono::milliseconds(20);
+/** Time before the process exits in which the last answers are sent; the
+    daemon beside the target answers up to 60 ms after the deadline. */
+constexpr Duration kExitAnswerTime = std::chrono::milliseconds(200);
+/** Callers turn to other daemons, or to this one after its restart. */
+constexpr Duration kExitRetryAfter = std::chrono::milliseconds(500);
 
 /** @returns the host in lower case, without the port */
 std::string HostOf(const HttpRequest& request) {
@@ -139,6 +144,9 @@
       arrived_at);
   std::optional<HttpResponse> refused =
       RefuseQuarantined(call.value(), call_log);
+  if (!refused) {
+    refused = RefuseBeforeExit(call.value(), call_log);
+  }
   if (refused) {
     co_return std::move(*refused);
   }
@@ -149,6 +157,31 @@
   co_return response;
 }
 
+std::optional<HttpResponse> Ingress::RefuseBeforeExit(MeshCall& call,
+                                                      CallLogBuffer& call_log) {
+  if (!context_.exit_at) {
+    return std::nullopt;
+  }
+  const MonoTime last_answer_at = *context_.exit_at - kExitAnswerTime;
+  const bool may_outlast = call.deadline > last_answer_at;
+  call.deadline = std::min(call.deadline, last_answer_at);
+  if (!may_outlast || !context_.is_draining) {
+    return std::nullopt;
+  }
+  const Refusal refusal =
+      NotRun(RefusalReason::kShuttingDown,
+             "this daemon exits before the call's deadline", kExitRetryAfter);
+  call_log.Add(
+      EventLine("ingress-refused").With("reason", ToString(refusal.reason)),
+      context_.clock.Now());
+  context_.metrics.CountOutcome(CallHop::kIngress, refusal.verdict,
+                                refusal.reason);
+  return MakeRefusal(
+      kUnavailable,
+      std::string(ToString(refusal.verdict)) + ": " + refusal.detail,
+      refusal.retry_after);
+}
+
 std::optional<HttpResponse> Ingress::RefuseQuarantined(
     const MeshCall& call, CallLogBuffer& call_log) {
   if (context_.suspects.empty()) {
--- a/modules/cumin_daemon/ingress.h
+++ b/modules/cumin_daemon/ingress.h
@@ -39,6 +39,11 @@
                 const CallOutcome& outcome, const CallProgress& progress);
   /** @param outcome  its response is moved out */
   HttpResponse MakeResponse(const MeshCall& call, CallOutcome& outcome) const;
+  /** Limits the call to the time until the process exits.
+      @returns the refusal of a call that may last longer, once this daemon
+      accepts no new ones */
+  std::optional<HttpResponse> RefuseBeforeExit(MeshCall& call,
+                                               CallLogBuffer& call_log);
   /** @returns the refusal of a request that is known to crash targets */
   std::optional<HttpResponse> RefuseQuarantined(const MeshCall& call,
                                                 CallLogBuffer& call_log);
--- a/modules/cumin_daemon/mesh_daemon.cc
+++ b/modules/cumin_daemon/mesh_daemon.cc
@@ -146,6 +146,7 @@
     const Duration grace = context_.settings.grace;
     context_.log.Write(EventLine("leaving").With("grace_ms", grace));
     context_.is_shutting_down = true;
+    context_.exit_at = began + grace - kKillMargin;
     caller_listener_.CloseAfterResponses();
     asio::co_spawn(context_.executor, contacts_.Unregister(), asio::detached);
     const Duration notice = std::min(kReadinessNoticePeriod, grace / 2);
@@ -160,7 +161,7 @@
       // Sleep at least once: received requests count as busy only after they
       // have been read.
       co_await SleepFor(kTick);
-    } while (context_.clock.Now() < began + grace - kKillMargin && IsBusy());
+    } while (context_.clock.Now() < *context_.exit_at && IsBusy());
     context_.log.Write(
         EventLine("stopped")
             .With("after_ms", context_.clock.Now() - began)
