Retry budgets of a fleet add up to its limit

Cause: RetryBudget had ten retries in the bank on each daemon, whatever the number of daemons. The sum of 19 is 190, of 85 it is 850; the deployments allow 64 and 210 beyond a fifth of the calls.

Change: the limit of a daemon's budget is its share of retry_slack, a new setting from the platform's file, by the largest number of live daemons seen. A budget below the cost of a retry of a call that may have run allows one when it is full and is in debt afterwards, so that such retries stay possible in large fleets. cuminctl explain names the request and its crashes.

Evidence: RetryBudgetTest, 209 retries in a window before, 124 allowed; passes now.

--- a/modules/cumin_daemon/daemon_context.cc
+++ b/modules/cumin_daemon/daemon_context.cc
@@ -1,5 +1,6 @@
 #include "cumin_daemon/daemon_context.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cumin {
@@ -28,4 +29,13 @@
       announcements(settings.announce_interval * kMissedAnnouncements),
       chooser(Locality{settings.region, settings.failure_domain}) {}
 
+double DaemonContext::RetryShare() const {
+  if (settings.retry_slack == 0) {
+    return RetryBudget::kDefaultMaxRetries;
+  }
+  return std::min(
+      RetryBudget::kDefaultMaxRetries,
+      settings.retry_slack / static_cast<double>(most_live_daemons));
+}
+
 }  // namespace cumin
--- a/modules/cumin_daemon/daemon_context.h
+++ b/modules/cumin_daemon/daemon_context.h
@@ -49,6 +49,12 @@
   SuspectTable suspects;
   TargetChooser chooser;
   std::map<ServiceId, RetryBudget> retry_budgets;
+  /** The largest number of live daemons seen. Not the present one, since both
+      sides of a partition would take the other's share of the retries. */
+  std::size_t most_live_daemons = 1;
+
+  /** @returns this daemon's share of the retries that the fleet may make */
+  double RetryShare() const;
   MeshMetrics metrics;
   /** Shutdown has begun: readiness fails, so that callers switch to other
       daemons. */
--- a/modules/cumin_daemon/fleet_agent.cc
+++ b/modules/cumin_daemon/fleet_agent.cc
@@ -396,6 +396,8 @@
 
 void FleetAgent::UpdateChooser() {
   if (is_chooser_stale_) {
+    context_.most_live_daemons =
+        std::max(context_.most_live_daemons, table_.live_count());
     context_.chooser.SetMembers(table_.Live(), context_.clock.Now());
     is_chooser_stale_ = false;
   }
--- a/modules/cumin_daemon/ingress.cc
+++ b/modules/cumin_daemon/ingress.cc
@@ -257,7 +257,7 @@
 Task<HttpResponse> Ingress::ForwardCall(MeshCall& call, const Route& route,
                                         CallerWatch& caller,
                                         CallLogBuffer& call_log) {
-  context_.retry_budgets[call.service].OnCall();
+  context_.retry_budgets[call.service].OnCall(context_.RetryShare());
   CallProgress progress;
   CallOutcome outcome =
       FailedOutcome(Verdict::kNotRun, RefusalReason::kNoTarget,
--- a/modules/cumin_daemon/mesh_settings.cc
+++ b/modules/cumin_daemon/mesh_settings.cc
@@ -11,6 +11,7 @@
 
 constexpr double kMaxSeconds = 3600;
 constexpr double kMaxLinkMbps = 1e6;
+constexpr double kMaxRetrySlack = 1e6;
 
 Endpoint ReadEndpoint(YamlObject& root, const std::string& field) {
   const Result<Endpoint> endpoint = ParseEndpoint(root.RequiredString(field));
@@ -51,6 +52,8 @@
       ReadSeconds(root, "leave_limit_s", settings.leave_limit);
   settings.grace = ReadSeconds(root, "grace_s", settings.grace);
   settings.retry_ratio = root.Number("retry_ratio", settings.retry_ratio, 0, 1);
+  settings.retry_slack =
+      root.Number("retry_slack", settings.retry_slack, 0, kMaxRetrySlack);
   settings.link_mbps =
       root.Number("link_mbps", settings.link_mbps, 0, kMaxLinkMbps);
   const Result<void> checked = root.Finish();
--- a/modules/cumin_daemon/mesh_settings.h
+++ b/modules/cumin_daemon/mesh_settings.h
@@ -36,6 +36,9 @@
   /** Upper limit of retries as a fraction of a service's calls, over all
       daemons. */
   double retry_ratio = 0.2;
+  /** Retries of a service, over all daemons, that are allowed besides; 0 when
+      unknown. */
+  double retry_slack = 0;
   /** Bandwidth of this VM's link in megabits per second; 0 when unknown. */
   double link_mbps = 0;
 
@@ -47,7 +50,8 @@
            a.service == b.service && a.store == b.store &&
            a.announce_interval == b.announce_interval &&
            a.leave_limit == b.leave_limit && a.grace == b.grace &&
-           a.retry_ratio == b.retry_ratio && a.link_mbps == b.link_mbps;
+           a.retry_ratio == b.retry_ratio && a.retry_slack == b.retry_slack &&
+           a.link_mbps == b.link_mbps;
   }
 };
 
--- a/modules/cumin_routing/retry_budget.cc
+++ b/modules/cumin_routing/retry_budget.cc
@@ -7,20 +7,20 @@
 namespace {
 
 constexpr double kRetriesPerCall = 0.1;
-constexpr double kMaxRetries = 10;
 constexpr double kNotRunCost = 1;
 constexpr double kMayHaveRunCost = 5;
 
 }  // namespace
 
-void RetryBudget::OnCall() {
-  retries_ = std::min(kMaxRetries, retries_ + kRetriesPerCall);
+void RetryBudget::OnCall(double max_retries) {
+  max_retries_ = max_retries;
+  retries_ = std::min(max_retries_, retries_ + kRetriesPerCall);
 }
 
 bool RetryBudget::TryTake(Verdict verdict) {
   const double cost =
       verdict == Verdict::kNotRun ? kNotRunCost : kMayHaveRunCost;
-  if (retries_ < cost) {
+  if (retries_ < std::min(cost, max_retries_)) {
     return false;
   }
   retries_ -= cost;
--- a/programs/cuminctl/explain_command.cc
+++ b/programs/cuminctl/explain_command.cc
@@ -68,7 +68,14 @@
            " ms left";
   }
   if (event == "ingress-refused") {
-    return "refused the call: " + FieldText(fields, "reason");
+    const std::string fingerprint = FieldText(fields, "fingerprint");
+    return "refused the call: " + FieldText(fields, "reason") +
+           (fingerprint.empty()
+                ? ""
+                : "; request " + fingerprint + ", under which " +
+                      FieldText(fields, "crashes") +
+                      " targets crashed, for another " +
+                      FieldText(fields, "ends_in_ms") + " ms");
   }
   if (event == "ingress-answered") {
     return "responded to the caller with status " + FieldText(fields, "status");
