A report of a new process blames only calls that began before it

What callers would see: a healthy request shut out for ten minutes. A target that crashes and starts again under its former name takes calls before its first report; a suspect that ran there alone when the report arrived counted as the cause of the crash. Cause: the report ended all runs that were open, also those of the process that sent it. Change: calls that began after the start that the report names are left out; with a start that no clock can mean, the time of the report is used.

--- a/modules/cumin_daemon/target_dispatcher.cc
+++ b/modules/cumin_daemon/target_dispatcher.cc
@@ -28,6 +28,9 @@
 /** A process that ends without closing its connections is noticed when its
     successor announces itself. */
 constexpr Duration kRunRetention = std::chrono::seconds(10);
+/** A process reports itself sooner than this after its start; an age beyond it
+    comes from a clock that was set. */
+constexpr Duration kMaxReportDelay = std::chrono::seconds(60);
 /** The target of another process name answers so. */
 constexpr int kMisdirected = 421;
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(100);
@@ -380,7 +383,12 @@
     (void)runs_.TakeUnanswered(now, Duration::zero());
     return;
   }
-  RecordCrash(now, kRunRetention);
+  // Calls that began after the new process did may be running in it.
+  const auto age = std::chrono::duration_cast<Duration>(
+      context_.clock.WallNow() -
+      context_.announcements.last()->process_started_at);
+  const bool is_plausible = age >= Duration::zero() && age <= kMaxReportDelay;
+  RecordCrash(is_plausible ? now - age : now, kRunRetention);
 }
 
 void TargetDispatcher::RecordCrash(MonoTime lost_at, Duration within) {
--- a/programs/cuminctl/explain_command.cc
+++ b/programs/cuminctl/explain_command.cc
@@ -68,14 +68,14 @@
            " ms left";
   }
   if (event == "ingress-refused") {
-    const std::string fingerprint = FieldText(fields, "fingerprint");
-    return "refused the call: " + FieldText(fields, "reason") +
-           (fingerprint.empty()
-                ? ""
-                : "; request " + fingerprint + ", under which " +
-                      FieldText(fields, "crashes") +
-                      " targets crashed, for another " +
-                      FieldText(fields, "ends_in_ms") + " ms");
+    std::string text = "refused the call: " + FieldText(fields, "reason");
+    if (!fields["fingerprint"].isNull()) {
+      text += "; " + FieldText(fields, "crashes") +
+              " targets crashed under request " +
+              FieldText(fields, "fingerprint") + ", refused for another " +
+              FieldText(fields, "ends_in_ms") + " ms";
+    }
+    return text;
   }
   if (event == "ingress-answered") {
     return "responded to the caller with status " + FieldText(fields, "status");
