--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -10,6 +10,7 @@
 constexpr int kMaxCrashes = 3;
 constexpr int kRepeats = 10;
 constexpr std::size_t kTargets = 5;
+constexpr int kConcurrentCalls = 12;
 constexpr int kStatusOk = 200;
 constexpr int kStatusUnavailable = 503;
 
@@ -70,7 +71,8 @@
     StartMesh("idempotent");
     loop_->Post([this] { SetWork(std::chrono::milliseconds(300)); });
     std::vector<std::thread> callers;
-    for (int i = 0; i < 12; ++i) {
+    callers.reserve(kConcurrentCalls);
+    for (int i = 0; i < kConcurrentCalls; ++i) {
       callers.emplace_back([this, i] { (void)Call(Caller(i), "/p1/popular"); });
     }
     std::vector<Vm*> busy;
--- a/tests/platform/odd_input_test.cc
+++ b/tests/platform/odd_input_test.cc
@@ -154,7 +154,6 @@
         R"({"key":"p/a","value":"MQ==","rev":2,"create-rev":2,"lease":0})";
     FixedHandler handler;
     HttpListener listener(loop_->executor(), handler);
-    PlatformStore store(*pool_, Endpoint{"127.0.0.1", 1});
     Endpoint address;
     loop_->Post([&] {
       address = listener.Start(Endpoint{"127.0.0.1", 0}).value();
@@ -167,7 +166,9 @@
           R"({"key":"p/b","value":"MQ==","rev":1e300})",
           R"({"key":7,"value":"MQ==","rev":3})"}) {
       loop_->Post([&] {
-        handler.body = R"({"items":[)" + odd + "," + good + R"(],"as-of":9})";
+        handler.body = R"({"items":[)";
+        handler.body.append(odd).append(",").append(good);
+        handler.body.append(R"(],"as-of":9})");
       });
       const auto listed =
           loop_->Run(reader.List("p/", ReadFreshness::kCurrent));
