A withdrawal that a restarted daemon could not match is remembered

Cause: the daemon had restarted 0.08 s before its target withdrew, so it had no report of it. AnnouncementTracker::Withdraw ignored the unknown name, the withdrawal was acknowledged, and a late report 2.8 s later made the target ready again.

Change: the tracker keeps the name and the time of such a withdrawal; reports of a process of that name that started before it are stale. A later process may have the same name.

--- a/modules/cumin_admission/announcement_tracker.cc
+++ b/modules/cumin_admission/announcement_tracker.cc
@@ -6,6 +6,11 @@
                                               MonoTime now) {
   const bool is_known = last_ && last_->instance == report.instance &&
                         last_->process_started_at == report.process_started_at;
+  const bool was_withdrawn = report.instance == withdrawn_instance_ &&
+                             report.process_started_at <= withdrawn_at_;
+  if (was_withdrawn) {
+    return AnnouncementOutcome::kStale;
+  }
   if (!is_known) {
     if (last_ && report.process_started_at <= last_->process_started_at) {
       return AnnouncementOutcome::kStale;
@@ -24,8 +29,10 @@
   return AnnouncementOutcome::kUpdated;
 }
 
-bool AnnouncementTracker::Withdraw(const std::string& instance) {
+bool AnnouncementTracker::Withdraw(const std::string& instance, WallTime now) {
   if (!last_ || last_->instance != instance) {
+    withdrawn_instance_ = instance;
+    withdrawn_at_ = now;
     return false;
   }
   last_->leaving = true;
--- a/modules/cumin_admission/announcement_tracker.h
+++ b/modules/cumin_admission/announcement_tracker.h
@@ -57,9 +57,11 @@
   /** Applies a report. */
   AnnouncementOutcome Take(const TargetAnnouncement& report, MonoTime now);
 
-  /** Marks the process of this name as leaving.
+  /** Marks the process of this name as leaving. A name that has not been
+      reported yet is remembered: late reports of the process that withdrew do
+      not make it ready.
       @returns false if it is not the known process */
-  bool Withdraw(const std::string& instance);
+  bool Withdraw(const std::string& instance, WallTime now);
 
   /** @returns the target's last report; empty before the first one */
   const std::optional<TargetAnnouncement>& last() const { return last_; }
@@ -70,6 +72,10 @@
  private:
   const Duration report_timeout_;
   std::optional<TargetAnnouncement> last_;
+  /** Withdrawn before any report, for example because this daemon restarted;
+      processes that started later may have the same name. */
+  std::string withdrawn_instance_;
+  WallTime withdrawn_at_;
   MonoTime received_at_;
 };
 
--- a/tests/admission/attempt_table_test.cc
+++ b/tests/admission/attempt_table_test.cc
@@ -52,6 +52,9 @@
   }
 }
 
+/** Between the two starts that the tests report. */
+constexpr WallTime kWithdrawnAt{std::chrono::seconds(150)};
+
 TargetAnnouncement MakeReport(int started_s, std::uint64_t sequence) {
   TargetAnnouncement report;
   report.instance = "i-1";
@@ -112,6 +115,7 @@
   CPPUNIT_TEST(TestRestartUnderSameNameIsNewTarget);
   CPPUNIT_TEST(TestLeavingTargetStaysLeaving);
   CPPUNIT_TEST(TestWithdrawnTargetIsNotReady);
+  CPPUNIT_TEST(TestLateReportAfterWithdrawalOfUnknownTargetIsIgnored);
   CPPUNIT_TEST(TestSilentTargetIsNotReadyUntilItReports);
   CPPUNIT_TEST_SUITE_END();
 
@@ -127,7 +131,7 @@
   void TestRestartUnderSameNameIsNewTarget() {
     AnnouncementTracker tracker(kRetention);
     tracker.Take(MakeReport(100, 50), MonoTime{});
-    tracker.Withdraw("i-1");
+    tracker.Withdraw("i-1", kWithdrawnAt);
     CPPUNIT_ASSERT(AnnouncementOutcome::kNewTarget ==
                    tracker.Take(MakeReport(200, 1), MonoTime{}));
     CPPUNIT_ASSERT(tracker.IsReady(MonoTime{}));
@@ -146,12 +150,27 @@
   void TestWithdrawnTargetIsNotReady() {
     AnnouncementTracker tracker(kRetention);
     tracker.Take(MakeReport(100, 1), MonoTime{});
-    CPPUNIT_ASSERT(!tracker.Withdraw("i-2"));
+    CPPUNIT_ASSERT(!tracker.Withdraw("i-2", kWithdrawnAt));
     CPPUNIT_ASSERT(tracker.IsReady(MonoTime{}));
-    CPPUNIT_ASSERT(tracker.Withdraw("i-1"));
+    CPPUNIT_ASSERT(tracker.Withdraw("i-1", kWithdrawnAt));
     CPPUNIT_ASSERT(!tracker.IsReady(MonoTime{}));
   }
 
+  // Guards against a target that gets new work after its leave was
+  // acknowledged: the daemon had restarted and did not know it yet, and a late
+  // report arrived after the leave.
+  void TestLateReportAfterWithdrawalOfUnknownTargetIsIgnored() {
+    AnnouncementTracker tracker(kRetention);
+    CPPUNIT_ASSERT(!tracker.Withdraw("i-1", kWithdrawnAt));
+    CPPUNIT_ASSERT(AnnouncementOutcome::kStale ==
+                   tracker.Take(MakeReport(100, 9), MonoTime{}));
+    CPPUNIT_ASSERT(!tracker.IsReady(MonoTime{}));
+    // A process that started later may have the same name.
+    CPPUNIT_ASSERT(AnnouncementOutcome::kNewTarget ==
+                   tracker.Take(MakeReport(200, 1), MonoTime{}));
+    CPPUNIT_ASSERT(tracker.IsReady(MonoTime{}));
+  }
+
   void TestSilentTargetIsNotReadyUntilItReports() {
     AnnouncementTracker tracker(kRetention);
     tracker.Take(MakeReport(100, 1), MonoTime{});
