An answer no longer shortens a lift

What an operator would see: a quarantine that was lifted comes back when a daemon reports an earlier crash late. Cause: an answer set the time up to which crashes are excused to the last crash known here, also when a lift had set a later one. Change: the later of the two stays.

--- a/modules/cumin_admission/suspect_table.cc
+++ b/modules/cumin_admission/suspect_table.cc
@@ -146,7 +146,8 @@
     // Peers have the record as well; excusing it reaches them, erasing it here
     // would not.
     SuspectRecord& evidence = it->second.evidence;
-    evidence.excused_through = LastSequence(evidence);
+    evidence.excused_through =
+        std::max(evidence.excused_through, LastSequence(evidence));
     UpdateDigest();
   } else {
     records_.erase(it);
--- a/tests/admission/suspect_table_test.cc
+++ b/tests/admission/suspect_table_test.cc
@@ -145,6 +145,7 @@
   CPPUNIT_TEST(TestRecentAnswerPreventsSuspicion);
   CPPUNIT_TEST(TestAnswerAndLiftEndQuarantine);
   CPPUNIT_TEST(TestCrashAfterLiftCountsAgain);
+  CPPUNIT_TEST(TestAnswerAfterLiftKeepsTheLift);
   CPPUNIT_TEST(TestCopiesInFlightTogetherAreStopped);
   CPPUNIT_TEST(TestProvedRecordsConverge);
   CPPUNIT_TEST(TestCodecKeepsRecords);
@@ -276,6 +277,21 @@
                    lifted.Begin(ServiceId("s"), {1}, kStart));
   }
 
+  // Guards against an answer that shortens the time up to which a lift excuses
+  // crashes, so that a peer's report of an earlier one quarantines again.
+  void TestAnswerAfterLiftKeepsTheLift() {
+    SuspectTable table;
+    Quarantine(table, {1}, kStart);
+    table.Lift({1}, WallTime(std::chrono::seconds(10)));
+    table.OnAnswered({1}, kStart);
+    SuspectRecord late;
+    late.fingerprint = {1};
+    late.crashes = {{{VmId("c"), 9000}, true}};
+    late.remaining = std::chrono::minutes(1);
+    CPPUNIT_ASSERT(!table.Import(late, kStart));
+    CPPUNIT_ASSERT(!table.IsQuarantined({1}, kStart));
+  }
+
   void TestCrashAfterLiftCountsAgain() {
     SuspectTable table;
     for (std::uint64_t i = 0; i < 20; ++i) {
