Suspect records: one parser, one limit of slots, shorter words

The text of records was parsed in three places; ParseSuspects serves them. A refusal becomes an outcome in one place. The limit of a target's slots stood twice in cumin_fleet. A failed exchange of records is logged, also one that follows a digest. A sentence of SuspectTable claimed more than its tests show. No decision changes.

Run on it: CrashingRequestTest, OddInputTest, ShutdownTest and daemon_test.

--- a/modules/cumin_admission/suspect_codec.cc
+++ b/modules/cumin_admission/suspect_codec.cc
@@ -1,6 +1,7 @@
 #include "cumin_admission/suspect_codec.h"
 
 #include "cumin_core/json_object.h"
+#include "cumin_core/json_text.h"
 
 namespace cumin {
 
@@ -80,4 +81,13 @@
   return records;
 }
 
+Result<std::vector<SuspectRecord>> ParseSuspects(const std::string& text,
+                                                 const std::string& source) {
+  const Result<Json::Value> value = ParseJson(text, source);
+  if (!value) {
+    return value.error();
+  }
+  return DecodeSuspects(value.value());
+}
+
 }  // namespace cumin
--- a/modules/cumin_admission/suspect_table.h
+++ b/modules/cumin_admission/suspect_table.h
@@ -138,7 +138,6 @@
     target beside this daemon answered shortly before are ignored, so that
     requests that are sent often do not become suspects.
 
-    Records merge in any order and any number of times with the same result.
     Not thread-safe.
 */
 class SuspectTable {
@@ -191,8 +190,7 @@
   /** @returns every valid record, for sending to peers */
   std::vector<SuspectRecord> Export(MonoTime now) const;
 
-  /** @returns the valid records that say that a request is or was quarantined
-   */
+  /** @returns the valid records of requests that are or were quarantined */
   std::vector<SuspectRecord> ExportProved(MonoTime now) const;
 
   /** @returns a digest of which requests are quarantined, and which were until
--- a/modules/cumin_daemon/fleet_agent.h
+++ b/modules/cumin_daemon/fleet_agent.h
@@ -23,8 +23,7 @@
 */
 class FleetAgent final : private MemberTable::Listener {
  public:
-  /** Fills in and reads the state of other agents that gossip messages carry.
-   */
+  /** Fills in and reads what gossip messages carry for other agents. */
   class Listener {
    public:
     virtual ~Listener() = default;
--- a/modules/cumin_daemon/hop_codec.cc
+++ b/modules/cumin_daemon/hop_codec.cc
@@ -39,12 +39,8 @@
   if (text.empty()) {
     return std::nullopt;
   }
-  const Result<Json::Value> value = ParseJson(text, kSuspicionField);
-  if (!value) {
-    return std::nullopt;
-  }
   const Result<std::vector<SuspectRecord>> records =
-      DecodeSuspects(value.value());
+      ParseSuspects(text, kSuspicionField);
   if (!records || records.value().size() != 1) {
     return std::nullopt;
   }
--- a/modules/cumin_daemon/mesh_call.cc
+++ b/modules/cumin_daemon/mesh_call.cc
@@ -20,12 +20,17 @@
   return RequestFingerprint{StableHash(text)};
 }
 
-CallOutcome FailedOutcome(Verdict verdict, RefusalReason reason,
-                          std::string detail, Duration retry_after) {
+CallOutcome FailedOutcome(Refusal refusal) {
   CallOutcome outcome;
-  outcome.verdict = verdict;
-  outcome.refusal = Refusal{verdict, reason, std::move(detail), retry_after};
+  outcome.verdict = refusal.verdict;
+  outcome.refusal = std::move(refusal);
   return outcome;
 }
 
+CallOutcome FailedOutcome(Verdict verdict, RefusalReason reason,
+                          std::string detail, Duration retry_after) {
+  return FailedOutcome(
+      Refusal{verdict, reason, std::move(detail), retry_after});
+}
+
 }  // namespace cumin
--- a/modules/cumin_daemon/mesh_call.h
+++ b/modules/cumin_daemon/mesh_call.h
@@ -55,6 +55,7 @@
 RequestFingerprint FingerprintOf(const MeshCall& call);
 
 /** @returns an outcome without a response */
+CallOutcome FailedOutcome(Refusal refusal);
 CallOutcome FailedOutcome(Verdict verdict, RefusalReason reason,
                           std::string detail,
                           Duration retry_after = Duration(0));
--- a/modules/cumin_daemon/peer_handler.cc
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -80,7 +80,7 @@
     co_return HandleSuspects(request.body);
   }
   if (request.path == kQuarantinePath) {
-    co_return PlainResponse(200, suspects_.Describe());
+    co_return PlainResponse(200, suspects_.ListQuarantined());
   }
   if (request.path == kLiftPath && request.method == "POST") {
     co_return HandleLift(request.query);
--- a/modules/cumin_daemon/suspect_agent.cc
+++ b/modules/cumin_daemon/suspect_agent.cc
@@ -74,12 +74,8 @@
 }
 
 Result<std::string> SuspectAgent::OnRecords(const std::string& body) {
-  const Result<Json::Value> value = ParseJson(body, "peer");
-  if (!value) {
-    return value.error();
-  }
   const Result<std::vector<SuspectRecord>> records =
-      DecodeSuspects(value.value());
+      ParseSuspects(body, "peer");
   if (!records) {
     return records.error();
   }
@@ -88,7 +84,7 @@
       EncodeSuspects(context_.suspects.ExportProved(context_.clock.Now())));
 }
 
-std::string SuspectAgent::Describe() const {
+std::string SuspectAgent::ListQuarantined() const {
   Json::Value list(Json::arrayValue);
   for (const SuspectRecord& it :
        context_.suspects.ExportProved(context_.clock.Now())) {
@@ -122,10 +118,6 @@
     was_taken = co_await Exchange(peer, body);
   }
   context_.metrics.CountSuspectPush(was_taken ? "taken" : "failed");
-  if (!was_taken) {
-    context_.log.Write(
-        EventLine("suspects-not-pushed").With("peer", ToString(peer)));
-  }
 }
 
 Task<bool> SuspectAgent::Exchange(Endpoint peer, std::string body) {
@@ -135,17 +127,13 @@
   request.body = std::move(body);
   const Result<HttpResponse> answer =
       co_await peers_.Send(peer, std::move(request), kPushTimeout);
-  if (!answer) {
-    co_return false;
-  }
-  const Result<Json::Value> value =
-      ParseJson(answer.value().body, ToString(peer));
-  if (!value) {
-    co_return false;
-  }
   const Result<std::vector<SuspectRecord>> records =
-      DecodeSuspects(value.value());
+      answer ? ParseSuspects(answer.value().body, ToString(peer))
+             : Result<std::vector<SuspectRecord>>(answer.error());
   if (!records) {
+    context_.log.Write(EventLine("suspects-not-exchanged")
+                           .With("peer", ToString(peer))
+                           .With("error", Describe(records.error())));
     co_return false;
   }
   Import(records.value());
--- a/modules/cumin_daemon/suspect_agent.h
+++ b/modules/cumin_daemon/suspect_agent.h
@@ -33,7 +33,7 @@
   Result<std::string> OnRecords(const std::string& body);
 
   /** @returns the quarantined requests for an operator, as JSON */
-  std::string Describe() const;
+  std::string ListQuarantined() const;
 
   /** Ends the quarantine of a request on all daemons.
       @param fingerprint  16 hexadecimal digits, as logged
--- a/modules/cumin_daemon/target_dispatcher.cc
+++ b/modules/cumin_daemon/target_dispatcher.cc
@@ -31,7 +31,7 @@
 /** A process reports itself sooner than this after its start; an age beyond it
     comes from a clock that was set. */
 constexpr Duration kMaxReportDelay = std::chrono::seconds(60);
-/** The target of another process name answers so. */
+/** Status of a process that is not the one named in the request. */
 constexpr int kMisdirected = 421;
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(100);
 /** Calls that are just being sent to a target that has ended are refused within
@@ -74,10 +74,8 @@
   }
   std::optional<CallOutcome> refused = CheckTarget(call);
   if (!refused && context_.suspects.IsQuarantined(fingerprint, now)) {
-    const Refusal refusal =
-        SuspectRefusal(SuspectDecision::kQuarantined, fingerprint);
-    refused = FailedOutcome(refusal.verdict, refusal.reason, refusal.detail,
-                            refusal.retry_after);
+    refused = FailedOutcome(
+        SuspectRefusal(SuspectDecision::kQuarantined, fingerprint));
   }
   if (!refused && call.kind == RouteKind::kAtMostOnce &&
       !attempts_.Begin(call.attempt, now)) {
@@ -212,15 +210,13 @@
     const MonoTime ready_at = arrived + queue_.ExpectedWait(waiting, arrived) +
                               queue_.ExpectedTime(call.route, arrived);
     if (const std::optional<Refusal> link_refusal = pacer->Admit(ready_at)) {
-      co_return FailedOutcome(link_refusal->verdict, link_refusal->reason,
-                              link_refusal->detail, link_refusal->retry_after);
+      co_return FailedOutcome(*link_refusal);
     }
   }
   Refusal refusal;
   const DispatchDecision decision = queue_.Offer(waiting, arrived, &refusal);
   if (decision == DispatchDecision::kRefused) {
-    co_return FailedOutcome(refusal.verdict, refusal.reason, refusal.detail,
-                            refusal.retry_after);
+    co_return FailedOutcome(refusal);
   }
   if (decision == DispatchDecision::kQueued) {
     caller.SetListener(&waiting);
@@ -269,9 +265,7 @@
   const bool may_run = decision == SuspectDecision::kNotSuspect ||
                        decision == SuspectDecision::kRunAlone;
   if (!may_run) {
-    const Refusal refusal = SuspectRefusal(decision, fingerprint);
-    co_return FailedOutcome(refusal.verdict, refusal.reason, refusal.detail,
-                            refusal.retry_after);
+    co_return FailedOutcome(SuspectRefusal(decision, fingerprint));
   }
   CallOutcome outcome;
   if (call.kind == RouteKind::kAtMostOnce &&
--- a/modules/cumin_fleet/fleet_codec.cc
+++ b/modules/cumin_fleet/fleet_codec.cc
@@ -12,7 +12,6 @@
 constexpr std::size_t kMaxMembers = 8192;
 constexpr int kStates = 4;
 constexpr int kTargetStates = 3;
-constexpr std::int64_t kMaxSlots = 100000;
 /** Longer than any outage that the receiver distinguishes. */
 constexpr std::int64_t kMaxStoreQuietMs = 86400000;
 
@@ -51,7 +50,7 @@
   target.service = fields.Name<ServiceId>("n", kMaxNameBytes);
   target.endpoint = ReadEndpoint(fields, "e");
   const std::int64_t slots = fields.Int("c");
-  if (slots < 0 || slots > kMaxSlots) {
+  if (slots < 0 || slots > kMaxTargetSlots) {
     fields.Fail("c", "must be from 0 to 100000");
   } else {
     target.slots = static_cast<int>(slots);
--- a/modules/cumin_fleet/member.cc
+++ b/modules/cumin_fleet/member.cc
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::size_t kMaxNameBytes = 64;
-constexpr int kMaxSlots = 100000;
 /** JSON punctuation, field names, port and numbers of one encoded entry. */
 constexpr std::size_t kEntryOverheadBytes = 72;
 constexpr std::size_t kTargetOverheadBytes = 48;
@@ -34,7 +33,7 @@
     return InvalidField(member, "target.endpoint",
                         "must be an IP address and port");
   }
-  if (target.slots < 0 || target.slots > kMaxSlots) {
+  if (target.slots < 0 || target.slots > kMaxTargetSlots) {
     return InvalidField(member, "target.slots", "must be from 0 to 100000");
   }
   return Ok();
--- a/modules/cumin_fleet/member.h
+++ b/modules/cumin_fleet/member.h
@@ -73,6 +73,9 @@
     this value. */
 constexpr std::uint64_t kMaxIncarnation = 1ULL << 53U;
 
+/** Upper limit of a target's slots. */
+constexpr int kMaxTargetSlots = 100000;
+
 /** @returns "alive", "suspect", "dead" or "left" */
 const char* ToString(MemberState state);
 
