SmallMesh waits until each of its daemons serves

Cause: SmallMesh waited until calls ran through the edge only, and the test sends calls through two further daemons as well. A daemon is ready when it has a configuration; the targets of a service reach it a little later, by gossip. Change: the mesh waits for each daemon.

--- a/tests/process/serving_test.cc
+++ b/tests/process/serving_test.cc
@@ -25,9 +25,11 @@
     SmallMesh small;
     const auto load = small.StartLoad(
         {test::kCatalogueTwo, test::kOrderdeskOne, test::kEdge});
-    const Json::Value total = small.AwaitPassed(*load)["total"];
+    const Json::Value report = small.AwaitPassed(*load);
+    const Json::Value& total = report["total"];
     CPPUNIT_ASSERT(total["calls"].asInt() > 100);
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(load->Output(), total["calls"].asInt(),
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(report.toStyledString(),
+                                 total["calls"].asInt(),
                                  total["ends"]["ran"].asInt());
   }
 
--- a/tests/process/small_mesh.cc
+++ b/tests/process/small_mesh.cc
@@ -72,7 +72,9 @@
   AddVm("o2", "pilbara", "orderdesk");
   AddVm("edge", "goldfields", "");
   CPPUNIT_ASSERT(mesh_.WaitUntilReady());
-  CPPUNIT_ASSERT(WaitUntil([this] { return IsServed(); }));
+  for (std::size_t vm = 0; vm <= kEdge; ++vm) {
+    CPPUNIT_ASSERT(WaitUntil([this, vm] { return IsServed(vm); }));
+  }
 }
 
 HttpRequest SmallMesh::PriceCheck(const std::string& item) {
@@ -134,10 +136,10 @@
   mesh_.Add(vm);
 }
 
-bool SmallMesh::IsServed() {
+bool SmallMesh::IsServed(std::size_t vm) {
   const std::string key = "warm-up-" + std::to_string(++warm_ups_);
-  const auto price = mesh_.Call(kEdge, PriceCheck("warm-up"));
-  const auto accepted = mesh_.Call(kEdge, Acceptance(key));
+  const auto price = mesh_.Call(vm, PriceCheck("warm-up"));
+  const auto accepted = mesh_.Call(vm, Acceptance(key));
   return price && price.value().status == 200 && accepted &&
          accepted.value().status == 200;
 }
--- a/tests/process/small_mesh.h
+++ b/tests/process/small_mesh.h
@@ -26,8 +26,8 @@
     customer, and a scenario for cuminload. */
 class SmallMesh {
  public:
-  /** Starts everything and waits until calls of both services run through the
-      edge. */
+  /** Starts everything and waits until calls of both services run through
+      each daemon. */
   SmallMesh();
 
   TestMesh& mesh() { return mesh_; }
@@ -55,7 +55,7 @@
  private:
   void AddVm(const std::string& name, const std::string& region,
              const std::string& service);
-  bool IsServed();
+  bool IsServed(std::size_t vm);
 
   TestMesh mesh_;
   int warm_ups_ = 0;
