Test: the report of a new process blames none of its calls

A suspect that has crashed one target runs alone at another one, whose process sends its first report, with a start before that call, while the call runs. The stand-in's start time is 64 bits wide, to hold the present time.

--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -1,5 +1,6 @@
 #include <thread>
 
+#include "cumin_core/time.h"
 #include "platform/mesh_fixture.h"
 
 namespace cumin::platform {
@@ -11,6 +12,10 @@
 constexpr int kRepeats = 10;
 constexpr std::size_t kTargets = 5;
 constexpr int kConcurrentCalls = 12;
+/** Long enough for a report to arrive while the call runs. */
+constexpr Duration kSuspectWork = std::chrono::milliseconds(1500);
+/** From the start of a target's process to its first report. */
+constexpr Duration kReportDelay = std::chrono::milliseconds(500);
 constexpr int kStatusOk = 200;
 constexpr int kStatusUnavailable = 503;
 
@@ -21,6 +26,7 @@
   CPPUNIT_TEST(TestAtMostOnceRequestThatCrashesTargetsIsStopped);
   CPPUNIT_TEST(TestRestartedDaemonLearnsQuarantine);
   CPPUNIT_TEST(TestTargetsThatEndTogetherShutOutNoHealthyRequest);
+  CPPUNIT_TEST(TestReportOfNewProcessBlamesNoCallOfIts);
   CPPUNIT_TEST(TestOperatorSeesAndLiftsQuarantine);
   CPPUNIT_TEST_SUITE_END();
 
@@ -78,7 +84,7 @@
     std::vector<Vm*> busy;
     while (busy.size() < 2) {
       Pause();
-      loop_->Post([&] { busy = BusyTargets(); });
+      busy = BusyTargets();
     }
     loop_->Post([&] {
       for (Vm* const it : busy) {
@@ -97,6 +103,40 @@
     }
   }
 
+  // A process that was started again under its former name may run a suspect
+  // before its first report.
+  void TestReportOfNewProcessBlamesNoCallOfIts() {
+    StartMesh("non_idempotent");
+    (void)Call(Caller(0), "/p1/crash");
+    CPPUNIT_ASSERT_EQUAL(1, Crashes());
+    for (std::size_t i = 0; i < kTargets; ++i) {
+      while (Metric(*vms_[i], "cumin_suspect_requests") != 1) {
+        Pause();
+      }
+    }
+    while (!BusyTargets().empty()) {
+      Pause();
+    }
+    EndCrashes();
+    loop_->Post([this] { SetWork(kSuspectWork); });
+    const std::int64_t started_at =
+        ToUnixMillis(SystemClock().WallNow()) - ToMillis(kReportDelay);
+    HttpResponse answer;
+    std::thread caller([&] { answer = Call(Caller(0), "/p1/crash"); });
+    std::vector<Vm*> busy;
+    while (busy.empty()) {
+      Pause();
+      busy = BusyTargets();
+    }
+    Vm& vm = *busy.front();
+    vm.target_start_ms = started_at;
+    Announce(vm, "ready", 1);
+    const int quarantined = Metric(vm, "cumin_quarantined_requests");
+    caller.join();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body, kStatusOk, answer.status);
+    CPPUNIT_ASSERT_EQUAL(0, quarantined);
+  }
+
   void TestOperatorSeesAndLiftsQuarantine() {
     StartMesh("idempotent");
     QuarantineCrash();
@@ -116,11 +156,7 @@
         Pause();
       }
     }
-    loop_->Post([this] {
-      for (std::size_t i = 0; i < kTargets; ++i) {
-        vms_[i]->handler.on_crash = nullptr;
-      }
-    });
+    EndCrashes();
     AwaitAnswer(Caller(0), "/p1/crash", kStatusOk);
   }
 
@@ -141,14 +177,25 @@
 
   std::vector<Vm*> BusyTargets() {
     std::vector<Vm*> busy;
-    for (std::size_t i = 0; i < kTargets; ++i) {
-      if (vms_[i]->handler.running > 0) {
-        busy.push_back(vms_[i].get());
+    loop_->Post([&] {
+      for (std::size_t i = 0; i < kTargets; ++i) {
+        if (vms_[i]->handler.running > 0) {
+          busy.push_back(vms_[i].get());
+        }
       }
-    }
+    });
     return busy;
   }
 
+  /** From now on no request crashes a target. */
+  void EndCrashes() {
+    loop_->Post([this] {
+      for (std::size_t i = 0; i < kTargets; ++i) {
+        vms_[i]->handler.on_crash = nullptr;
+      }
+    });
+  }
+
   void SetWork(Duration work) {
     for (std::size_t i = 0; i < kTargets; ++i) {
       vms_[i]->handler.work = work;
--- a/tests/platform/mesh_fixture.h
+++ b/tests/platform/mesh_fixture.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cstdint>
 #include <fstream>
 #include <functional>
 #include <memory>
@@ -109,8 +110,8 @@
   /** Set when the target is reached through a proxy. */
   std::unique_ptr<test::FaultProxy> target_link;
   bool is_target_down = false;
-  /** Start time that the target announces. */
-  int target_start_ms = 1000;
+  /** Start time that the target announces, in ms since the Unix epoch. */
+  std::int64_t target_start_ms = 1000;
   std::unique_ptr<test::ChildProcess> daemon;
 };
 
--- a/tests/standins/platform_store/platform_texts.cc
+++ b/tests/standins/platform_store/platform_texts.cc
@@ -84,7 +84,7 @@
                                  const AnnouncementText& announcement) {
   Json::Value body;
   body["addr"] = ToString(addresses.target);
-  body["born"] = announcement.start_time_ms;
+  body["born"] = Json::Int64{announcement.start_time_ms};
   body["info"]["service"] = addresses.service;
   body["info"]["version"] = "v1";
   body["info"]["zone"] = addresses.failure_domain;
--- a/tests/standins/platform_store/platform_texts.h
+++ b/tests/standins/platform_store/platform_texts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -49,7 +50,7 @@
   int sequence = 0;
   int slots = 4;
   /** Start time of the instance, in milliseconds. */
-  int start_time_ms = 1000;
+  std::int64_t start_time_ms = 1000;
 };
 
 /** @returns the HTTP path for the announcements of an instance */
