--- a/tests/process/at_most_once_test.cc
+++ b/tests/process/at_most_once_test.cc
@@ -75,6 +75,7 @@
 
   void TestResendThroughAnotherDaemonIsReplayed() {
     StartVms();
+    WaitUntilServed(1);
     std::vector<SentCall> calls = SendCalls(0);
     ExpectAll(calls, "ran");
     SendAll(1, &calls);
