--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -35,22 +35,14 @@
   // after another.
   void TestIdempotentRequestThatCrashesTargetsIsStopped() {
     StartMesh("idempotent");
-    for (int i = 0; i < kRepeats; ++i) {
-      (void)Call(Caller(i), "/p1/crash");
-      RestartCrashedTargets();
-      AwaitAnswer(Caller(i), "/p1/healthy", kStatusOk);
-    }
+    RepeatCrash();
     CheckIsStopped();
   }
 
   // As above, for a request that may be sent to one target in each attempt.
   void TestAtMostOnceRequestThatCrashesTargetsIsStopped() {
     StartMesh("non_idempotent");
-    for (int i = 0; i < kRepeats; ++i) {
-      (void)Call(Caller(i), "/p1/crash");
-      RestartCrashedTargets();
-      AwaitAnswer(Caller(i), "/p1/healthy", kStatusOk);
-    }
+    RepeatCrash();
     CheckIsStopped();
   }
 
@@ -161,13 +153,19 @@
   }
 
  private:
-  /** Repeats the crashing request until all daemons have quarantined it. */
-  void QuarantineCrash() {
+  /** Sends the crashing request repeatedly, with crashed targets restarted in
+      between. */
+  void RepeatCrash() {
     for (int i = 0; i < kRepeats; ++i) {
       (void)Call(Caller(i), "/p1/crash");
       RestartCrashedTargets();
       AwaitAnswer(Caller(i), "/p1/healthy", kStatusOk);
     }
+  }
+
+  /** Repeats the crashing request until all daemons have quarantined it. */
+  void QuarantineCrash() {
+    RepeatCrash();
     for (const auto& it : vms_) {
       while (Metric(*it, "cumin_quarantined_requests") != 1) {
         Pause();
