An exchange that opens a new connection keeps the pooled ones

Cause: HttpConnectionPool::TakeIdle dropped each idle connection that was idle for longer than the exchange allows. At-most-once calls allow none, so each of them closed all idle connections of its target, and the idempotent calls behind it opened new ones.

Change: connections that are too old for one exchange stay for others; only expired ones are closed. A full pool drops its oldest connection.

TestExchangeWithoutReuseKeepsPooledConnections failed before.

--- a/modules/cumin_http/http_connection_pool.cc
+++ b/modules/cumin_http/http_connection_pool.cc
@@ -119,18 +119,19 @@
   explicit Implementation(const asio::any_io_executor& executor)
       : executor_(executor) {}
 
+  /** @returns the connection that was idle for the shortest time, if that is
+      less than max_idle, or null */
   ConnectionPtr TakeIdle(const Endpoint& to, Duration max_idle) {
     const auto found = idle_.find(to);
     if (found == idle_.end()) {
       return nullptr;
     }
+    std::vector<ConnectionPtr>& list = found->second;
     const SteadyTime now = std::chrono::steady_clock::now();
-    while (!found->second.empty()) {
-      ConnectionPtr connection = std::move(found->second.back());
-      found->second.pop_back();
-      const bool is_fresh = now - connection->idle_since <
-                            std::min(max_idle, connection->idle_timeout);
-      if (is_fresh && !HasUnexpectedInput(connection->stream.socket())) {
+    while (!list.empty() && now - list.back()->idle_since < max_idle) {
+      ConnectionPtr connection = std::move(list.back());
+      list.pop_back();
+      if (!IsExpired(*connection, now)) {
         return connection;
       }
     }
@@ -140,7 +141,7 @@
   void PutIdle(const Endpoint& to, ConnectionPtr connection) {
     std::vector<ConnectionPtr>& list = idle_[to];
     if (list.size() >= kMaxIdle) {
-      return;
+      list.erase(list.begin());
     }
     connection->buffer.clear();
     connection->buffer.shrink_to_fit();
--- a/modules/cumin_http/http_connection_pool.h
+++ b/modules/cumin_http/http_connection_pool.h
@@ -48,7 +48,8 @@
   /** For the whole exchange, including the connect. */
   Duration timeout = std::chrono::seconds(1);
   /** A pooled connection is used only when it was idle for less than this; zero
-      always opens a new connection. */
+      always opens a new connection. Connections that were idle for longer stay
+      in the pool for other exchanges. */
   Duration max_idle = std::chrono::seconds(4);
   std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
   /** Unless empty: the response header that must equal correlation_value; other
--- a/tests/http/http_connection_pool_test.cc
+++ b/tests/http/http_connection_pool_test.cc
@@ -4,10 +4,12 @@
 
 #include <future>
 #include <memory>
+#include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include "cumin_http/http_listener.h"
 #include "support/loop_thread.h"
 #include "support/raw_server.h"
 
@@ -38,6 +40,15 @@
   return request;
 }
 
+/** Answers each request. */
+class EmptyHandler final : public HttpRequestHandler {
+ public:
+  Task<HttpResponse> Handle(HttpRequest /*request*/,
+                            CallerWatch& /*caller*/) override {
+    co_return HttpResponse{};
+  }
+};
+
 class HttpConnectionPoolTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpConnectionPoolTest);
   CPPUNIT_TEST(TestCompleteResponse);
@@ -56,6 +67,7 @@
   CPPUNIT_TEST(TestRefusalOfAnotherRequestIsNotTheResponse);
   CPPUNIT_TEST(TestEndlessHeaderIsAborted);
   CPPUNIT_TEST(TestEndlessBodiesAreAbortedAtTotalLimit);
+  CPPUNIT_TEST(TestExchangeWithoutReuseKeepsPooledConnections);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -245,6 +257,33 @@
                                  kServers * kSocketBufferBytes);
   }
 
+  // An exchange that may not reuse a connection closed the pooled ones of its
+  // server, so that each exchange after it opened a new one.
+  void TestExchangeWithoutReuseKeepsPooledConnections() {
+    test::LoopThread loop;
+    EmptyHandler handler;
+    HttpListener server(loop.executor(), handler);
+    Endpoint endpoint;
+    loop.Post([&] { endpoint = server.Start({"127.0.0.1", 0}).value(); });
+    HttpConnectionPool pool(loop.executor());
+    const HttpRequest request = MakePost();
+    HttpRequest last_of_connection = MakePost();
+    last_of_connection.headers.Set("Connection", "close");
+    ExchangeOptions reusing;
+    reusing.timeout = std::chrono::seconds(10);
+    ExchangeOptions opening = reusing;
+    opening.max_idle = Duration::zero();
+    CPPUNIT_ASSERT(
+        !loop.Run(pool.Exchange(endpoint, request, reusing)).was_reused);
+    CPPUNIT_ASSERT(
+        !loop.Run(pool.Exchange(endpoint, last_of_connection, opening))
+             .was_reused);
+    CPPUNIT_ASSERT(
+        loop.Run(pool.Exchange(endpoint, request, reusing)).was_reused);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, pool.opened());
+    loop.Stop();
+  }
+
  private:
   /** Upper bound for the data in both socket buffers of one connection. */
   static constexpr std::size_t kSocketBufferBytes = std::size_t{16} << 20U;
