A caller's chunk extension or trailer without end is refused

Cause: Beast keeps an incomplete line until its end arrives, and neither the limit of the header nor that of the body counts chunk extensions and trailers.

Change: the buffer of a connection has a limit: the larger of the header's limit and 16 KiB. The request is refused and the connection closed.

TestEndlessLineOfChunkedBodyIsRefused failed before.

--- a/modules/cumin_http/http_listener.cc
+++ b/modules/cumin_http/http_listener.cc
@@ -1,5 +1,6 @@
 #include "cumin_http/http_listener.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -27,6 +28,9 @@
 
 /** Buffer size of the first read of a request; most requests fit. */
 constexpr std::size_t kInitialReadBytes = 1024;
+/** Bytes of a request that are read ahead of the parser at most, unless its
+    header may be larger. */
+constexpr std::size_t kMinBufferBytes = std::size_t{16} * 1024;
 /** A caller that does not read its response for this long is disconnected. */
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 constexpr int kInternalError = 500;
@@ -338,6 +342,9 @@
 
   Task<error_code> Read(Connection& connection, Parser& parser) {
     parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
+    // Bounds what the header limit does not: chunk extensions and trailers.
+    connection.buffer.max_size(
+        std::max(limits_.max_header_bytes, kMinBufferBytes));
     parser.body_limit(limits_.max_body_bytes);
     error_code ec;
     connection.stream.expires_after(limits_.header_timeout);
--- a/tests/http/http_listener_test.cc
+++ b/tests/http/http_listener_test.cc
@@ -74,6 +74,10 @@
   std::atomic<int> count{0};
 };
 
+/** Upper bound for the data in both socket buffers of one connection. */
+constexpr std::size_t kMaxUnread = std::size_t{16} << 20U;
+constexpr std::size_t kMaxSent = 4 * kMaxUnread;
+
 /** A client that reads and writes a plain socket. */
 class RawClient {
  public:
@@ -101,6 +105,18 @@
     return text;
   }
 
+  /** Sends bytes without line ends until the server closes the connection.
+      @returns the number of bytes sent, up to kMaxSent */
+  std::size_t SendUntilRefused() {
+    const std::string part(std::size_t{64} * 1024, 'x');
+    std::size_t n = 0;
+    boost::system::error_code ec;
+    while (!ec && n < kMaxSent) {
+      n += asio::write(socket_, asio::buffer(part), ec);
+    }
+    return n;
+  }
+
   void Close() { socket_.close(); }
 
  private:
@@ -114,6 +130,7 @@
   CPPUNIT_TEST(TestChunkedBodyAndEmptyQuery);
   CPPUNIT_TEST(TestSmuggledRequestNeverReachesTheHandler);
   CPPUNIT_TEST(TestLimits);
+  CPPUNIT_TEST(TestEndlessLineOfChunkedBodyIsRefused);
   CPPUNIT_TEST(TestDisconnectIsReportedToHandler);
   CPPUNIT_TEST(TestRequestOfDisconnectedCallerIsNotHandled);
   CPPUNIT_TEST(TestHandlerExceptionGives500);
@@ -182,6 +199,19 @@
     CPPUNIT_ASSERT_EQUAL(0, handler_->calls.load());
   }
 
+  // A caller could fill the memory with a chunk extension or a trailer that
+  // never ends; neither counts towards the limits of header and body.
+  void TestEndlessLineOfChunkedBodyIsRefused() {
+    const std::string kChunked =
+        "POST /p HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& begin : {kChunked + "3;", kChunked + "0\r\nT: "}) {
+      RawClient caller(bound_);
+      caller.Send(begin);
+      CPPUNIT_ASSERT_MESSAGE(begin, caller.SendUntilRefused() < kMaxUnread);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, handler_->calls.load());
+  }
+
   void TestDisconnectIsReportedToHandler() {
     RawClient caller(bound_);
     caller.Send("GET /wait HTTP/1.1\r\nHost: x\r\n\r\n");
