A target that sends without end loses its own exchanges only

Bodies shared 32 MiB, and whichever body above 1 MiB grew next failed, of a sound target as well. Complete bodies that waited to be passed on were not counted.

Change: the read buffer of an exchange is limited to 64 KiB. BodyBudget counts the memory of each body until it is passed on, and aborts the largest body of the server that holds the most. Its limit is a fifth of the process's memory (new setting memory_mb), 32 MiB when that is unknown. Metrics: cumin_response_body_bytes, cumin_responses_oversized_total.

--- a/modules/cumin_daemon/daemon_context.cc
+++ b/modules/cumin_daemon/daemon_context.cc
@@ -9,6 +9,18 @@
 
 /** Consecutive announcements missed before a target is considered gone. */
 constexpr int kMissedAnnouncements = 4;
+/** Part of the process's memory that response bodies may take. A body that
+    grows takes up to twice its memory while it is moved. */
+constexpr double kBodyMemoryShare = 0.2;
+constexpr double kBytesPerMegabyte = 1024 * 1024;
+
+std::size_t MaxBodyBytes(const MeshSettings& settings) {
+  if (settings.memory_mb == 0) {
+    return HttpConnectionPool::kDefaultMaxBodyBytes;
+  }
+  return static_cast<std::size_t>(settings.memory_mb * kBodyMemoryShare *
+                                  kBytesPerMegabyte);
+}
 
 }  // namespace
 
@@ -23,7 +35,7 @@
       clock(time_source),
       random(seed),
       log(settings.vm.str(), time_source, log_fd),
-      connections(loop),
+      connections(loop, MaxBodyBytes(settings)),
       link(loop, time_source, settings.link_mbps),
       last_store_contact(time_source.Now()),
       announcements(settings.announce_interval * kMissedAnnouncements),
--- a/modules/cumin_daemon/mesh_settings.cc
+++ b/modules/cumin_daemon/mesh_settings.cc
@@ -12,6 +12,7 @@
 constexpr double kMaxSeconds = 3600;
 constexpr double kMaxLinkMbps = 1e6;
 constexpr double kMaxRetrySlack = 1e6;
+constexpr double kMaxMemoryMb = 1e6;
 
 Endpoint ReadEndpoint(YamlObject& root, const std::string& field) {
   const Result<Endpoint> endpoint = ParseEndpoint(root.RequiredString(field));
@@ -56,6 +57,8 @@
       root.Number("retry_slack", settings.retry_slack, 0, kMaxRetrySlack);
   settings.link_mbps =
       root.Number("link_mbps", settings.link_mbps, 0, kMaxLinkMbps);
+  settings.memory_mb =
+      root.Number("memory_mb", settings.memory_mb, 0, kMaxMemoryMb);
   const Result<void> checked = root.Finish();
   if (!checked) {
     return checked.error();
--- a/modules/cumin_daemon/mesh_settings.h
+++ b/modules/cumin_daemon/mesh_settings.h
@@ -41,6 +41,9 @@
   double retry_slack = 0;
   /** Bandwidth of this VM's link in megabits per second; 0 when unknown. */
   double link_mbps = 0;
+  /** Memory in megabytes (2^20 bytes) above which this process is killed; 0
+     when unknown. */
+  double memory_mb = 0;
 
   friend bool operator==(const MeshSettings& a, const MeshSettings& b) {
     return a.vm == b.vm && a.region == b.region &&
@@ -51,7 +54,7 @@
            a.announce_interval == b.announce_interval &&
            a.leave_limit == b.leave_limit && a.grace == b.grace &&
            a.retry_ratio == b.retry_ratio && a.retry_slack == b.retry_slack &&
-           a.link_mbps == b.link_mbps;
+           a.link_mbps == b.link_mbps && a.memory_mb == b.memory_mb;
   }
 };
 
--- a/modules/cumin_daemon/peer_handler.cc
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -186,6 +186,9 @@
       Total("cumin_connections_opened_total", context_.connections.opened());
   text +=
       Total("cumin_connections_failed_total", context_.connections.failed());
+  text += Gauge("cumin_response_body_bytes", context_.connections.body_bytes());
+  text += Total("cumin_responses_oversized_total",
+                context_.connections.oversized());
   text += Gauge("cumin_config_newest_heard", context_.newest_known_version);
   text += Gauge("cumin_link_bytes_per_second", LinkBytesPerSecond());
   return PlainResponse(200, text);
--- a/modules/cumin_http/cumin_http.h
+++ b/modules/cumin_http/cumin_http.h
@@ -11,6 +11,7 @@
     Depends on: cumin_core, Boost.Asio, Boost.Beast, Boost.Intrusive.
 */
 
+#include "cumin_http/body_budget.h"
 #include "cumin_http/http_connection_pool.h"
 #include "cumin_http/http_listener.h"
 #include "cumin_http/http_message.h"
--- a/modules/cumin_http/http_connection_pool.cc
+++ b/modules/cumin_http/http_connection_pool.cc
@@ -12,6 +12,7 @@
 #include <map>
 #include <vector>
 
+#include "cumin_http/body_budget.h"
 #include "cumin_http/socket_options.h"
 
 namespace cumin {
@@ -29,14 +30,15 @@
 constexpr int kMaxSkippedResponses = 2;
 /** A pooled connection expires this long before the server would close it. */
 constexpr Duration kIdleMargin = std::chrono::seconds(1);
-/** A body up to this size is never aborted because of the total size. */
-constexpr std::size_t kGuaranteedBodyBytes = std::size_t{1} << 20U;
 /** Idle connections per endpoint. */
 constexpr std::size_t kMaxIdle = 16;
 
 struct Connection {
   explicit Connection(const asio::any_io_executor& executor)
-      : stream(executor) {}
+      : stream(executor) {
+    // The parser asks for more input until a line is complete.
+    buffer.max_size(kMaxHeaderBytes);
+  }
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
@@ -63,6 +65,12 @@
 
 bool IsTimeout(const error_code& ec) { return ec == beast::error::timeout; }
 
+/** @returns whether a limit on the size of the response was exceeded */
+bool IsOversized(const error_code& ec) {
+  return ec == http::error::header_limit || ec == http::error::body_limit ||
+         ec == http::error::buffer_overflow;
+}
+
 bool IsGarbled(const error_code& ec) {
   return ec.category() ==
              http::make_error_code(http::error::bad_version).category() &&
@@ -116,8 +124,9 @@
 
 class HttpConnectionPool::Implementation {
  public:
-  explicit Implementation(const asio::any_io_executor& executor)
-      : executor_(executor) {}
+  Implementation(const asio::any_io_executor& executor,
+                 std::size_t max_body_bytes)
+      : executor_(executor), body_budget_(new BodyBudget(max_body_bytes)) {}
 
   /** @returns the connection that was idle for the shortest time, if that is
       less than max_idle, or null */
@@ -163,10 +172,10 @@
   }
 
   asio::any_io_executor executor_;
+  const RefPtr<BodyBudget> body_budget_;
   std::uint64_t opened_ = 0;
   std::uint64_t failed_ = 0;
-  /** Of the responses that are being read. */
-  std::size_t total_body_bytes_ = 0;
+  std::uint64_t oversized_ = 0;
 
  private:
   static bool IsExpired(Connection& connection, SteadyTime now) {
@@ -221,62 +230,67 @@
          parser.get()[options.correlation_field] == options.correlation_value;
 }
 
-/** Accounts for one body in the total of all bodies that are being read. */
-class BodyReservation {
+/** Reads one response, within the memory for bodies. */
+class ResponseReader final : public BodyBudget::Reader {
  public:
-  explicit BodyReservation(std::size_t& total) : total_(total) {}
-  ~BodyReservation() { total_ -= own_; }
-  BodyReservation(const BodyReservation&) = delete;
-  BodyReservation& operator=(const BodyReservation&) = delete;
-
-  /** @param n  bytes of the body so far
-      @returns whether reading may continue */
-  bool Resize(std::size_t n) {
-    total_ += n - own_;
-    own_ = n;
-    return own_ <= kGuaranteedBodyBytes ||
-           total_ <= HttpConnectionPool::kMaxTotalBodyBytes;
+  ResponseReader(Connection& connection, RefPtr<BodyBudget> budget,
+                 const Endpoint& server)
+      : connection_(connection),
+        memory_(std::make_shared<BodyBudget::Reservation>(std::move(budget),
+                                                          server, *this)) {}
+
+  /** @returns the error of the read, if any */
+  Task<error_code> Read(Parser& parser) {
+    error_code ec;
+    while (!ec && !parser.is_done()) {
+      co_await http::async_read_some(
+          connection_.stream, connection_.buffer, parser,
+          asio::redirect_error(asio::use_awaitable, ec));
+      // The capacity is what the body takes of the process's memory.
+      if (!ec && !memory_->Resize(parser.get().body().capacity())) {
+        is_aborted_ = true;
+      }
+      if (is_aborted_) {
+        ec = http::error::body_limit;
+      }
+    }
+    memory_->Complete();
+    co_return ec;
   }
 
- private:
-  std::size_t& total_;
-  std::size_t own_ = 0;
-};
+  /** @returns the memory of the body, which counts until this is released */
+  std::shared_ptr<void> memory() const { return memory_; }
 
-/** Reads one complete response.
-    @returns the error of the read, if any */
-Task<error_code> ReadResponse(Connection& connection, Parser& parser,
-                              std::size_t& total_body_bytes) {
-  BodyReservation reservation(total_body_bytes);
-  error_code ec;
-  while (!ec && !parser.is_done()) {
-    co_await http::async_read_some(
-        connection.stream, connection.buffer, parser,
-        asio::redirect_error(asio::use_awaitable, ec));
-    if (!ec && !reservation.Resize(parser.get().body().size())) {
-      ec = http::error::body_limit;
-    }
+ private:
+  void OnBodyAborted() override {
+    is_aborted_ = true;
+    connection_.stream.close();
   }
-  co_return ec;
-}
+
+  Connection& connection_;
+  const std::shared_ptr<BodyBudget::Reservation> memory_;
+  bool is_aborted_ = false;
+};
 
 /** Reads responses until the one that belongs to the request.
-    @param[in,out] total_body_bytes  of all exchanges in progress
-    @param[out] may_keep  whether the connection may be reused: it carried no
-    other response and no further bytes */
+    @param[out] may_keep   whether the connection may be reused: it carried no
+                           other response and no further bytes
+    @param[out] oversized  incremented when a response exceeds a limit */
 Task<ExchangeResult> ReadOwnResponse(Connection& connection,
+                                     const Endpoint& server,
                                      const HttpRequest& request,
                                      const ExchangeOptions& options,
-                                     std::size_t& total_body_bytes,
-                                     bool* may_keep) {
+                                     const RefPtr<BodyBudget>& budget,
+                                     bool* may_keep, std::uint64_t* oversized) {
   for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
     Parser parser;
     parser.header_limit(kMaxHeaderBytes);
     parser.body_limit(options.max_body_bytes);
     parser.skip(request.method == "HEAD");
-    const error_code ec =
-        co_await ReadResponse(connection, parser, total_body_bytes);
+    ResponseReader reader(connection, budget, server);
+    const error_code ec = co_await reader.Read(parser);
     if (ec) {
+      *oversized += IsOversized(ec) ? 1 : 0;
       co_return FailedAfterSend(ec);
     }
     const bool is_interim = parser.get().result_int() < 200;
@@ -286,6 +300,7 @@
       ExchangeResult result;
       result.end = ExchangeEnd::kAnswered;
       result.response = ReleaseResponse(parser);
+      result.response.memory = reader.memory();
       co_return result;
     }
     if (!parser.keep_alive()) {
@@ -298,8 +313,10 @@
 
 }  // namespace
 
-HttpConnectionPool::HttpConnectionPool(const asio::any_io_executor& executor)
-    : implementation_(std::make_unique<Implementation>(executor)) {}
+HttpConnectionPool::HttpConnectionPool(const asio::any_io_executor& executor,
+                                       std::size_t max_body_bytes)
+    : implementation_(
+          std::make_unique<Implementation>(executor, max_body_bytes)) {}
 
 HttpConnectionPool::~HttpConnectionPool() = default;
 
@@ -342,9 +359,9 @@
   if (ec) {
     result = FailedAfterSend(ec);
   } else {
-    result =
-        co_await ReadOwnResponse(*connection, request, options,
-                                 implementation_->total_body_bytes_, &may_keep);
+    result = co_await ReadOwnResponse(*connection, to, request, options,
+                                      implementation_->body_budget_, &may_keep,
+                                      &implementation_->oversized_);
   }
   result.was_reused = was_reused;
   if (abort != nullptr) {
@@ -372,4 +389,12 @@
   return implementation_->failed_;
 }
 
+std::size_t HttpConnectionPool::body_bytes() const {
+  return implementation_->body_budget_->total_bytes();
+}
+
+std::uint64_t HttpConnectionPool::oversized() const {
+  return implementation_->oversized_;
+}
+
 }  // namespace cumin
--- a/modules/cumin_http/http_connection_pool.h
+++ b/modules/cumin_http/http_connection_pool.h
@@ -79,17 +79,22 @@
     A request is sent at most once; it is never retried on another connection.
     A connection returns to the pool only after a complete response with no
     bytes after it, and is reused only while no unexpected input has arrived on
-    it. Bodies are buffered in memory; while their total exceeds
-    kMaxTotalBodyBytes, exchanges with larger bodies fail with kGarbled.
+    it.
+
+    Bodies are buffered in memory, within a BodyBudget; an exchange whose body
+    is aborted, or whose header, chunk extension or trailer exceeds 64 KiB, ends
+    with kGarbled.
 */
 class HttpConnectionPool {
  public:
-  /** Total size of the bodies in progress above which larger ones are aborted,
-      so that many large responses cannot exhaust the memory. */
-  static constexpr std::size_t kMaxTotalBodyBytes = std::size_t{32} << 20U;
-
-  /** @param executor  of the event loop */
-  explicit HttpConnectionPool(const asio::any_io_executor& executor);
+  static constexpr std::size_t kDefaultMaxBodyBytes = std::size_t{32} << 20U;
+
+  /** @param executor        of the event loop
+      @param max_body_bytes  memory for the bodies of all responses, until they
+                             have been passed on */
+  explicit HttpConnectionPool(
+      const asio::any_io_executor& executor,
+      std::size_t max_body_bytes = kDefaultMaxBodyBytes);
   ~HttpConnectionPool();
   HttpConnectionPool(const HttpConnectionPool&) = delete;
   HttpConnectionPool& operator=(const HttpConnectionPool&) = delete;
@@ -112,6 +117,13 @@
   /** @returns the number of connection attempts that failed or timed out */
   std::uint64_t failed() const;
 
+  /** @returns the memory of all response bodies that are still held */
+  std::size_t body_bytes() const;
+
+  /** @returns the number of responses that were aborted because of their size
+   */
+  std::uint64_t oversized() const;
+
  private:
   class Implementation;
   std::unique_ptr<Implementation> implementation_;
--- a/modules/cumin_http/http_message.h
+++ b/modules/cumin_http/http_message.h
@@ -61,6 +61,8 @@
   std::string body;
   /** Controls when the body is written; null to write it immediately. */
   std::shared_ptr<ResponsePacer> pacing;
+  /** Accounts for the memory of a body that was received; may be null. */
+  std::shared_ptr<void> memory;
 };
 
 }  // namespace cumin
--- a/tests/http/http_connection_pool_test.cc
+++ b/tests/http/http_connection_pool_test.cc
@@ -67,6 +67,8 @@
   CPPUNIT_TEST(TestRefusalOfAnotherRequestIsNotTheResponse);
   CPPUNIT_TEST(TestEndlessHeaderIsAborted);
   CPPUNIT_TEST(TestEndlessBodiesAreAbortedAtTotalLimit);
+  CPPUNIT_TEST(TestEndlessLineIsAborted);
+  CPPUNIT_TEST(TestEndlessInterimResponsesAreAborted);
   CPPUNIT_TEST(TestExchangeWithoutReuseKeepsPooledConnections);
   CPPUNIT_TEST_SUITE_END();
 
@@ -253,10 +255,40 @@
     for (const test::RawServer* const it : all) {
       written += it->written();
     }
-    CPPUNIT_ASSERT(written < HttpConnectionPool::kMaxTotalBodyBytes +
+    CPPUNIT_ASSERT(written < HttpConnectionPool::kDefaultMaxBodyBytes +
                                  kServers * kSocketBufferBytes);
   }
 
+  // The parser keeps an incomplete line until its end has arrived; each of
+  // these was kept in memory until the timeout.
+  void TestEndlessLineIsAborted() {
+    const std::string kChunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nId: a\r\n\r\n";
+    const std::string filler(0x8000, 'x');
+    const std::pair<std::string, std::string> answers[] = {
+        {"HTTP/1.1 200 ", filler},
+        {"HTTP/1.1 200 OK\r\nFiller: ", filler},
+        {kChunked + "8;name=", filler},
+        {kChunked + "8;", "name=" + std::string(100, 'x') + ";"},
+        {kChunked + "0\r\nTrailer: ", filler},
+        {kChunked + "0\r\n", "Trailer: " + std::string(100, 'x') + "\r\n"}};
+    for (const auto& [begin, repeated] : answers) {
+      const test::RawServer server(begin, test::AfterAnswer::kWriteWithoutEnd,
+                                   repeated);
+      const std::vector<ExchangeResult> results = ExchangeWithEach({&server});
+      CPPUNIT_ASSERT_MESSAGE(begin, results[0].end == ExchangeEnd::kGarbled);
+      CPPUNIT_ASSERT_MESSAGE(begin, server.written() < kSocketBufferBytes);
+    }
+  }
+
+  void TestEndlessInterimResponsesAreAborted() {
+    const test::RawServer server("", test::AfterAnswer::kWriteWithoutEnd,
+                                 "HTTP/1.1 102 Processing\r\n\r\n");
+    const std::vector<ExchangeResult> results = ExchangeWithEach({&server});
+    CPPUNIT_ASSERT(results[0].end == ExchangeEnd::kGarbled);
+    CPPUNIT_ASSERT(server.written() < kSocketBufferBytes);
+  }
+
   // An exchange that may not reuse a connection closed the pooled ones of its
   // server, so that each exchange after it opened a new one.
   void TestExchangeWithoutReuseKeepsPooledConnections() {
--- a/tests/platform/mesh_fixture.h
+++ b/tests/platform/mesh_fixture.h
@@ -181,6 +181,9 @@
     loop_->Post([&] {
       const Endpoint any{"127.0.0.1", 0};
       addresses.target = vm->listener->Start(any).value();
+      if (target_endpoint_) {
+        addresses.target = *target_endpoint_;
+      }
       if (uses_target_links_) {
         vm->target_link = std::make_unique<test::FaultProxy>(loop_->executor(),
                                                              addresses.target);
@@ -300,6 +303,9 @@
   std::vector<std::unique_ptr<Vm>> vms_;
   /** VMs started from now on reach their targets through a proxy. */
   bool uses_target_links_ = false;
+  /** Address of the target of VMs started from now on, in place of their fake
+      target. */
+  std::optional<Endpoint> target_endpoint_;
   /** Extra settings lines for VMs started from now on. */
   std::string extra_settings_;
   std::atomic<int> next_attempt_{0};
