An overload of all regions stays in each of them

Cause: a daemon knows the load of a target from its own calls, and a report fades within two seconds. The many targets of other regions, which it seldom calls, therefore seemed idle to each daemon, and when all regions were full most tries crossed to another one, to be queued or refused there.

Change: the load of a target in another region fades towards the mean that its region's targets reported (RegionLoad), which itself fades with a time constant of 5 s, so that the region is tried again. When all targets are full, another region is used only where it is faster by 100 ms.

Shown by RegionSpillTest, 180 daemons and 60 targets in three regions, which failed before.

--- a/modules/cumin_routing/cumin_routing.h
+++ b/modules/cumin_routing/cumin_routing.h
@@ -14,6 +14,7 @@
 #include "cumin_routing/answer_check.h"
 #include "cumin_routing/call_deadline.h"
 #include "cumin_routing/connection_health.h"
+#include "cumin_routing/region_load.h"
 #include "cumin_routing/retry_budget.h"
 #include "cumin_routing/retry_policy.h"
 #include "cumin_routing/target_chooser.h"
--- a/modules/cumin_routing/target_chooser.cc
+++ b/modules/cumin_routing/target_chooser.cc
@@ -23,6 +23,10 @@
 /** Number of fully utilized targets sampled for one call. Kept small so that
     daemons with the same load data do not all choose the same target. */
 constexpr int kDelaySamples = 4;
+/** By how much a target in another region has to be faster when all targets are
+    full: its load is known less well, and the links between regions are billed.
+ */
+constexpr Duration kOtherRegionMargin = std::chrono::milliseconds(100);
 constexpr Duration kNoTargetRetryAfter = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -50,6 +54,9 @@
       }
     }
     target.member = it;
+    target.region_load = it.region == self_.region
+                             ? nullptr
+                             : &region_loads_[{it.target->service, it.region}];
     target.load_reported_at = std::min(target.load_reported_at, now);
     services_[it.target->service].push_back(it.vm);
     targets.emplace(it.vm, std::move(target));
@@ -98,6 +105,10 @@
   target.load_reported_at = now;
   target.has_load = true;
   target.own_in_flight_at_report = target.own_in_flight;
+  if (target.region_load != nullptr && load.usable_slots > 0) {
+    const double calls = load.in_flight + load.queued;
+    target.region_load->OnReport(calls / load.usable_slots, now);
+  }
 }
 
 void TargetChooser::OnSuccess(const VmId& vm) {
@@ -152,18 +163,22 @@
 }
 
 double TargetChooser::Utilization(const Target& target, MonoTime now) {
+  const double expected = target.region_load == nullptr
+                              ? 0.0
+                              : target.region_load->Utilization(now);
   if (!target.has_load) {
-    return static_cast<double>(target.own_in_flight) /
-           target.member.target->slots;
+    return expected + static_cast<double>(target.own_in_flight) /
+                          target.member.target->slots;
   }
   const double age =
       std::chrono::duration<double>(now - target.load_reported_at) /
       std::chrono::duration<double>(kLoadDecayTime);
-  const double others = target.load.in_flight + target.load.queued -
-                        target.own_in_flight_at_report;
-  const double decayed = std::max(0.0, others) * std::exp(-age);
-  return (decayed + target.own_in_flight) /
-         std::max(1, target.load.usable_slots);
+  const double slots = std::max(1, target.load.usable_slots);
+  const double others = std::max(0, target.load.in_flight + target.load.queued -
+                                        target.own_in_flight_at_report);
+  const double decayed =
+      expected + (others / slots - expected) * std::exp(-age);
+  return decayed + target.own_in_flight / slots;
 }
 
 double TargetChooser::Utilization(const Target& target, bool is_large,
@@ -263,8 +278,28 @@
 TargetChooser::Target* TargetChooser::PickByExpectedDelay(
     const std::vector<Target*>& candidates, bool is_large, MonoTime now,
     Random& random) const {
+  std::vector<Target*> near;
+  std::vector<Target*> far;
+  for (Target* const it : candidates) {
+    const bool is_near = DistanceTo(*it) != Distance::kOtherRegion;
+    (is_near ? near : far).push_back(it);
+  }
+  Target* const nearest = SampleByExpectedDelay(near, is_large, now, random);
+  Target* const farther = SampleByExpectedDelay(far, is_large, now, random);
+  if (nearest == nullptr || farther == nullptr) {
+    return nearest == nullptr ? farther : nearest;
+  }
+  const bool is_faster =
+      ExpectedDelay(*farther, is_large, now) + kOtherRegionMargin <
+      ExpectedDelay(*nearest, is_large, now);
+  return is_faster ? farther : nearest;
+}
+
+TargetChooser::Target* TargetChooser::SampleByExpectedDelay(
+    const std::vector<Target*>& candidates, bool is_large, MonoTime now,
+    Random& random) const {
   Target* best = nullptr;
-  for (int i = 0; i < kDelaySamples; ++i) {
+  for (int i = 0; i < kDelaySamples && !candidates.empty(); ++i) {
     Target* const drawn = candidates.at(random.Below(candidates.size()));
     if (best == nullptr || ExpectedDelay(*drawn, is_large, now) <
                                ExpectedDelay(*best, is_large, now)) {
--- a/modules/cumin_routing/target_chooser.h
+++ b/modules/cumin_routing/target_chooser.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cumin_core/random.h"
 #include "cumin_core/target_load.h"
 #include "cumin_core/verdict.h"
 #include "cumin_fleet/member.h"
+#include "cumin_routing/region_load.h"
 #include "cumin_routing/target_health.h"
 
 namespace cumin {
@@ -39,11 +42,13 @@
     Picks the less loaded of two random targets among the nearest ones with
     free capacity (power of two choices). More distant targets are used only
     when the nearer ones are at their limit. When all are, the expected queueing
-    delay of each is weighed against the network delay to it. Leaving, starting
-    and zero-slot targets are never chosen.
+    delay of each is weighed against the network delay to it, and another region
+    is used only where it is clearly faster. Leaving, starting and zero-slot
+    targets are never chosen.
 
-    Reported load decays with its age, and a report that a target accepts no
-    calls expires. Calls that this daemon has in flight are counted exactly.
+    Reported load decays with its age, that of a target in another region
+    towards the mean of its region; and a report that a target accepts no calls
+    expires. Calls that this daemon has in flight are counted exactly.
 */
 class TargetChooser {
  public:
@@ -93,6 +98,8 @@
         reported load so that own calls are not counted twice. */
     int own_in_flight_at_report = 0;
     TargetHealth health;
+    /** Of the target's region; null for the own region. */
+    RegionLoad* region_load = nullptr;
   };
 
   enum class Distance { kSameFailureDomain, kSameRegion, kOtherRegion };
@@ -121,11 +128,18 @@
   Target* PickByExpectedDelay(const std::vector<Target*>& candidates,
                               bool is_large, MonoTime now,
                               Random& random) const;
+  /** @returns the sampled target with the least expected delay, or null when
+      there are no candidates */
+  Target* SampleByExpectedDelay(const std::vector<Target*>& candidates,
+                                bool is_large, MonoTime now,
+                                Random& random) const;
   void PreferOwnRegion(std::vector<Target*>& candidates) const;
 
   Locality self_;
   std::unordered_map<VmId, Target> targets_;
   std::unordered_map<ServiceId, std::vector<VmId>> services_;
+  /** By service and region. */
+  std::map<std::pair<ServiceId, RegionId>, RegionLoad> region_loads_;
 };
 
 }  // namespace cumin
