Membership traffic stays in its region where it can

Cause: gossip beside the probes went to any member, so two of three messages crossed a link between regions; each departed member was sent gossip from all regions for 30 s, 7.5 messages a second; a starting daemon read the whole member tables of three contacts of any region; and tables were compared with whichever peer's digest had differed twelve times.

Change: GossipTargets sends one message in five to another region, and only the departed member's own region sends to it. ContactList joins through three contacts of the own region and one of each region that these do not know; the entry of a contact names its region. Digests of the own region and of others are counted apart. Compared tables travel compressed: daemons of earlier builds cannot read them.

--- a/modules/cumin_daemon/fleet_agent.cc
+++ b/modules/cumin_daemon/fleet_agent.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cumin_core/compression.h"
 #include "cumin_core/json_object.h"
 #include "cumin_core/json_text.h"
 #include "cumin_fleet/fleet_codec.h"
@@ -17,15 +18,14 @@
 constexpr std::size_t kMaxDatagramBytes = 8192;
 constexpr std::size_t kMaxDigestBytes = 20;
 constexpr std::size_t kMaxMembers = 4096;
+/** Limit of a decompressed answer of a comparison: kMaxMembers entries. */
+constexpr std::size_t kMaxAnswerBytes = std::size_t{4} << 20U;
 constexpr int kKinds = 5;
 constexpr int kLeaveGossipFanout = 6;
 /** How long gossip is sent to a departed member: its process restarts within
     seconds unless the VM is gone permanently. */
 constexpr Duration kDepartedGossipPeriod = std::chrono::seconds(30);
 constexpr Duration kDepartedGossipInterval = std::chrono::milliseconds(400);
-/** Average number of daemons that send gossip to a departed member in each
-    interval. */
-constexpr double kDepartedGossipSenders = 3;
 /** Start of the ids for probes relayed on behalf of others; outside the range
     that the failure detector uses. */
 constexpr ProbeId kFirstRelayedProbe = ProbeId{1} << 40U;
@@ -42,6 +42,7 @@
       table_(MakeSelf(context), MemberTableSettings{}),
       queue_(GossipSettings{}),
       pacer_(GossipPacerSettings{}),
+      gossip_targets_(table_),
       exchange_(table_, queue_),
       detector_(table_, DetectorSettings{}),
       socket_(context.executor),
@@ -95,8 +96,12 @@
   if (!answer) {
     co_return false;
   }
-  const Result<Json::Value> value =
-      ParseJson(answer.value().body, ToString(contact));
+  const Result<std::string> text =
+      Decompress(answer.value().body, kMaxAnswerBytes, ToString(contact));
+  if (!text) {
+    co_return false;
+  }
+  const Result<Json::Value> value = ParseJson(text.value(), ToString(contact));
   if (!value) {
     co_return false;
   }
@@ -143,7 +148,7 @@
   UpdateChooser();
   Json::Value answer;
   answer["members"] = ToJson(members);
-  return ToJsonText(answer);
+  return Compress(ToJsonText(answer));
 }
 
 void FleetAgent::AnnounceTarget() {
@@ -365,14 +370,12 @@
     return;
   }
   next_departed_gossip_ = now + kDepartedGossipInterval;
-  const double share =
-      kDepartedGossipSenders / static_cast<double>(table_.live_count());
   for (auto it = departed_.begin(); it != departed_.end();) {
     if (it->second < now) {
       it = departed_.erase(it);
       continue;
     }
-    if (context_.random.Unit() < share) {
+    if (gossip_targets_.MustGossipTo(it->first, context_.random)) {
       Send(it->first, Kind::kGossipOnly, 0, VmId());
     }
     ++it;
@@ -380,18 +383,17 @@
 }
 
 void FleetAgent::GossipToRandomMembers(int count) {
-  std::vector<Member> members = table_.Live();
-  for (int i = 0; i < count && !members.empty(); ++i) {
-    const std::size_t chosen = context_.random.Below(members.size());
-    if (members[chosen].vm == context_.settings.vm) {
-      members.erase(members.begin() + static_cast<std::ptrdiff_t>(chosen));
-      --i;
-      continue;
-    }
-    SendTo(members[chosen].endpoint, members[chosen].vm, Kind::kGossipOnly, 0,
-           VmId());
-    members.erase(members.begin() + static_cast<std::ptrdiff_t>(chosen));
+  for (const VmId& it : gossip_targets_.Choose(count, context_.random)) {
+    Send(it, Kind::kGossipOnly, 0, VmId());
+  }
+}
+
+std::set<RegionId> FleetAgent::Regions() const {
+  std::set<RegionId> regions;
+  for (const Member& it : table_.Live()) {
+    regions.insert(it.region);
   }
+  return regions;
 }
 
 void FleetAgent::UpdateChooser() {
--- a/modules/cumin_daemon/fleet_agent.h
+++ b/modules/cumin_daemon/fleet_agent.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "cumin_fleet/gossip_exchange.h"
 #include "cumin_fleet/gossip_pacer.h"
 #include "cumin_fleet/gossip_queue.h"
+#include "cumin_fleet/gossip_targets.h"
 #include "cumin_fleet/member_table.h"
 #include "cumin_fleet/spread_plan.h"
 
@@ -55,7 +57,8 @@
 
   /** Handles a peer's request to compare member tables.
       @param body  as JoinThrough sends it
-      @returns the members in which the tables differ, or kInvalid */
+      @returns the members in which the tables differ, compressed, or kInvalid
+   */
   Result<std::string> OnCompare(const std::string& body);
 
   /** @returns the distribution plan of versions for the current members */
@@ -64,6 +67,9 @@
   const Member* Find(const VmId& vm) const { return table_.Find(vm); }
   std::size_t live_count() const { return table_.live_count(); }
 
+  /** @returns the regions of the live members */
+  std::set<RegionId> Regions() const;
+
   /** @returns the other live members that have, or may have, a target of the
       service: one whose announcement has not arrived yet is included */
   std::vector<Member> PeersOfService(const ServiceId& service) const;
@@ -104,6 +110,7 @@
   MemberTable table_;
   GossipQueue queue_;
   GossipPacer pacer_;
+  GossipTargets gossip_targets_;
   GossipExchange exchange_;
   FailureDetector detector_;
   asio::ip::udp::socket socket_;
--- a/modules/cumin_daemon/peer_discovery.cc
+++ b/modules/cumin_daemon/peer_discovery.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "cumin_fleet/contact_list.h"
 #include "cumin_fleet/retry_backoff.h"
 
 namespace cumin {
@@ -20,8 +21,6 @@
 constexpr BackoffSettings kStoreRetryBackoff{std::chrono::milliseconds(150),
                                              std::chrono::milliseconds(1500)};
 constexpr Duration kSettledCheckInterval = std::chrono::seconds(1);
-/** Contacts that a joining daemon syncs with in one attempt. */
-constexpr std::size_t kMaxContacts = 3;
 
 }  // namespace
 
@@ -79,7 +78,9 @@
     co_return false;
   }
   const Result<std::uint64_t> written = co_await store_.Put(
-      Key(), ToString(context_.settings.peers), lease.value());
+      Key(),
+      ToString(Contact{context_.settings.peers, context_.settings.region}),
+      lease.value());
   if (!written) {
     context_.log.Write(EventLine("contact-not-written")
                            .With("error", Describe(written.error())));
@@ -116,32 +117,34 @@
         EventLine("contacts-not-read").With("error", Describe(listed.error())));
     co_return false;
   }
-  std::vector<Endpoint> contacts;
+  std::vector<Contact> contacts;
   for (const Error& it : listed.value().skipped) {
     context_.log.Write(
         EventLine("contact-skipped").With("error", Describe(it)));
   }
   for (const StoreItem& it : listed.value().items) {
-    const Result<Endpoint> endpoint = ParseEndpoint(it.value);
-    if (!endpoint) {
+    Result<Contact> contact = ParseContact(it.value);
+    if (!contact) {
       // The value may be long or unprintable.
       context_.log.Write(
           EventLine("contact-skipped")
               .With("key", it.key)
               .With("bytes", static_cast<std::int64_t>(it.value.size())));
-    }
-    if (endpoint && endpoint.value() != context_.settings.peers) {
-      contacts.push_back(endpoint.value());
+    } else if (contact.value().endpoint != context_.settings.peers) {
+      contacts.push_back(std::move(contact.value()));
     }
   }
-  std::size_t joined = 0;
-  while (!contacts.empty() && joined < kMaxContacts) {
-    const std::size_t chosen = context_.random.Below(contacts.size());
-    const bool succeeded = co_await fleet_.JoinThrough(contacts[chosen]);
-    joined += succeeded ? 1 : 0;
-    contacts.erase(contacts.begin() + static_cast<std::ptrdiff_t>(chosen));
+  ContactList list(std::move(contacts), context_.settings.region);
+  bool has_joined = false;
+  while (const std::optional<Endpoint> next =
+             list.Next(fleet_.Regions(), context_.random)) {
+    const bool joined = co_await fleet_.JoinThrough(*next);
+    if (joined) {
+      list.OnJoined();
+      has_joined = true;
+    }
   }
-  co_return joined > 0;
+  co_return has_joined;
 }
 
 }  // namespace cumin
--- a/modules/cumin_fleet/cumin_fleet.h
+++ b/modules/cumin_fleet/cumin_fleet.h
@@ -17,6 +17,7 @@
 */
 
 #include "cumin_fleet/anti_entropy.h"
+#include "cumin_fleet/contact_list.h"
 #include "cumin_fleet/failure_detector.h"
 #include "cumin_fleet/fetcher_rotation.h"
 #include "cumin_fleet/gather_plan.h"
@@ -24,6 +25,7 @@
 #include "cumin_fleet/gossip_message.h"
 #include "cumin_fleet/gossip_pacer.h"
 #include "cumin_fleet/gossip_queue.h"
+#include "cumin_fleet/gossip_targets.h"
 #include "cumin_fleet/member.h"
 #include "cumin_fleet/member_table.h"
 #include "cumin_fleet/probe_schedule.h"
--- a/modules/cumin_fleet/gossip_exchange.cc
+++ b/modules/cumin_fleet/gossip_exchange.cc
@@ -55,7 +55,12 @@
   // The incarnation at which the sender considers this daemon alive; 0 when it
   // does not.
   HandleKnownIncarnation(message.known_incarnation, now);
-  absorbed.needs_table_comparison = HandleDigest(message.table_digest);
+  const Member* const sender = table_.Find(message.from);
+  const bool is_own_region =
+      sender == nullptr || sender->region == table_.self().region;
+  absorbed.needs_table_comparison = HandleDigest(
+      message.table_digest,
+      is_own_region ? own_region_mismatches_ : other_region_mismatches_);
   return absorbed;
 }
 
@@ -72,16 +77,16 @@
   }
 }
 
-bool GossipExchange::HandleDigest(std::uint64_t digest) {
+bool GossipExchange::HandleDigest(std::uint64_t digest, int& mismatches) const {
   if (digest == table_.digest()) {
-    digest_mismatches_ = 0;
+    mismatches = 0;
     return false;
   }
-  ++digest_mismatches_;
-  if (digest_mismatches_ < kDigestMismatchesBeforeComparison) {
+  ++mismatches;
+  if (mismatches < kDigestMismatchesBeforeComparison) {
     return false;
   }
-  digest_mismatches_ = 0;
+  mismatches = 0;
   return true;
 }
 
--- a/modules/cumin_fleet/gossip_exchange.h
+++ b/modules/cumin_fleet/gossip_exchange.h
@@ -38,11 +38,15 @@
 
  private:
   void HandleKnownIncarnation(std::uint64_t known, MonoTime now);
-  bool HandleDigest(std::uint64_t digest);
+  /** @param mismatches  consecutive ones of the sender's group of members */
+  bool HandleDigest(std::uint64_t digest, int& mismatches) const;
 
   MemberTable& table_;
   GossipQueue& queue_;
-  int digest_mismatches_ = 0;
+  /** Counted apart, so that a change that has reached the own region but not
+      the others does not cause comparisons over the links between them. */
+  int own_region_mismatches_ = 0;
+  int other_region_mismatches_ = 0;
 };
 
 }  // namespace cumin
