A daemon that registers its contact no longer ends

Cause: a temporary in braces inside a co_await expression, which g++ 12 destroys twice (CONTRIBUTING.md). Every test of platform_test that starts a daemon hung on it; it had not been run yet.

Change: results and temporaries go into locals.

--- a/modules/cumin_daemon/peer_discovery.cc
+++ b/modules/cumin_daemon/peer_discovery.cc
@@ -77,10 +77,10 @@
         EventLine("lease-not-granted").With("error", Describe(lease.error())));
     co_return false;
   }
-  const Result<std::uint64_t> written = co_await store_.Put(
-      Key(),
-      ToString(Contact{context_.settings.peers, context_.settings.region}),
-      lease.value());
+  const Contact self{context_.settings.peers, context_.settings.region};
+  const std::string value = ToString(self);
+  const Result<std::uint64_t> written =
+      co_await store_.Put(Key(), value, lease.value());
   if (!written) {
     context_.log.Write(EventLine("contact-not-written")
                            .With("error", Describe(written.error())));
@@ -136,13 +136,15 @@
   }
   ContactList list(std::move(contacts), context_.settings.region);
   bool has_joined = false;
-  while (const std::optional<Endpoint> next =
-             list.Next(fleet_.Regions(), context_.random)) {
-    const bool joined = co_await fleet_.JoinThrough(*next);
+  std::optional<Endpoint> next = list.Next(fleet_.Regions(), context_.random);
+  while (next) {
+    const Endpoint contact = *next;
+    const bool joined = co_await fleet_.JoinThrough(contact);
     if (joined) {
       list.OnJoined();
       has_joined = true;
     }
+    next = list.Next(fleet_.Regions(), context_.random);
   }
   co_return has_joined;
 }
