--- a/tests/platform/endless_answer_test.cc
+++ b/tests/platform/endless_answer_test.cc
@@ -2,8 +2,8 @@
 #include <future>
 #include <string>
 
-#include "platform/endless_target.h"
 #include "platform/mesh_fixture.h"
+#include "platform/scripted_target.h"
 
 namespace cumin::platform {
 
@@ -26,14 +26,14 @@
   void TestEndlessAnswersOnAllSlotsLeaveOtherCallersServed() {
     extra_settings_ = "memory_mb: " + std::to_string(kMemoryMb) + "\n";
     // Outlives the event loop's work for it, which tearDown() ends.
-    target_ = std::make_unique<EndlessTarget>(loop_->executor());
+    target_ = std::make_unique<ScriptedTarget>(loop_->executor());
     loop_->Post([&] { target_endpoint_ = target_->Start(); });
     StartVm("svc");
     target_endpoint_.reset();
     StartVm("caller");
     Announce(*vms_[0], "ready", 1);
     AwaitAnswer(*vms_[1], "/p1/", 200);
-    for (const EndlessShape& it : EndlessTarget::Shapes()) {
+    for (const EndlessShape& it : ScriptedTarget::Shapes()) {
       CheckShape(it);
     }
     CPPUNIT_ASSERT(Metric(*vms_[0], "cumin_responses_oversized_total") > 0);
@@ -57,7 +57,7 @@
     for (int i = 0; i < kSoundCalls; ++i) {
       // Refusals for want of a slot state that the call did not run.
       const HttpResponse answer = AwaitAnswer(*vms_[1], "/p1/sound", 200);
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, EndlessTarget::kAnswerBytes,
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, ScriptedTarget::kAnswerBytes,
                                    answer.body.size());
     }
     for (std::future<HttpResponse>& it : faulty) {
@@ -89,7 +89,7 @@
     return kilobytes / 1024;
   }
 
-  std::unique_ptr<EndlessTarget> target_;
+  std::unique_ptr<ScriptedTarget> target_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndlessAnswerTest);
--- a/tests/platform/scripted_target.cc
+++ b/tests/platform/scripted_target.cc
@@ -1,5 +1,6 @@
-#include "platform/endless_target.h"
+#include "platform/scripted_target.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -12,6 +13,7 @@
 
 using boost::system::error_code;
 
+constexpr Duration kCopyDelay = std::chrono::milliseconds(20);
 /** In place of the attempt's id in the text of a shape. */
 constexpr char kIdMark[] = "<id>";
 const char* const kHead =
@@ -38,20 +40,55 @@
   return text;
 }
 
-const EndlessShape* FindShape(const std::string& path) {
-  for (const EndlessShape& it : EndlessTarget::Shapes()) {
-    const std::string name = it.name;
-    if (path.size() >= name.size() &&
-        path.compare(path.size() - name.size(), name.size(), name) == 0) {
+const EndlessShape* FindShape(const std::string& name) {
+  for (const EndlessShape& it : ScriptedTarget::Shapes()) {
+    if (name == it.name) {
       return &it;
     }
   }
   return nullptr;
 }
 
+/** @returns the bytes of an answer that the name says breaks off, or "" */
+std::string CutAnswer(const std::string& name) {
+  if (name == "cut-header") {
+    return std::string(kHead) + "Content-Le";
+  }
+  if (name == "cut-body") {
+    return std::string(kHead) + "Content-Length: 100\r\n\r\nbegin";
+  }
+  if (name == "cut-chunk") {
+    return std::string(kHead) +
+           "Transfer-Encoding: chunked\r\n\r\n5\r\nbegin\r\n";
+  }
+  return "";
+}
+
+/** Reads one request with a body of the length that its header tells.
+    @returns its header, or "" when the connection has ended */
+Task<std::string> ReadRequest(asio::ip::tcp::socket& socket, std::string& buf) {
+  error_code ec;
+  const std::size_t n = co_await asio::async_read_until(
+      socket, asio::dynamic_buffer(buf), "\r\n\r\n",
+      asio::redirect_error(asio::use_awaitable, ec));
+  std::string head = buf.substr(0, n);
+  const std::string length = Between(head, "Content-Length: ", "\r\n");
+  const std::size_t end = n + (length.empty() ? 0 : std::stoul(length));
+  if (!ec && buf.size() < end) {
+    co_await asio::async_read(socket, asio::dynamic_buffer(buf),
+                              asio::transfer_exactly(end - buf.size()),
+                              asio::redirect_error(asio::use_awaitable, ec));
+  }
+  if (ec) {
+    co_return "";
+  }
+  buf.erase(0, end);
+  co_return head;
+}
+
 }  // namespace
 
-const std::vector<EndlessShape>& EndlessTarget::Shapes() {
+const std::vector<EndlessShape>& ScriptedTarget::Shapes() {
   static const std::string head = kHead;
   static const std::string chunked =
       head + "Transfer-Encoding: chunked\r\n\r\n";
@@ -73,10 +110,10 @@
   return shapes;
 }
 
-EndlessTarget::EndlessTarget(const asio::any_io_executor& executor)
+ScriptedTarget::ScriptedTarget(const asio::any_io_executor& executor)
     : acceptor_(executor) {}
 
-Endpoint EndlessTarget::Start() {
+Endpoint ScriptedTarget::Start() {
   const auto any = ToTcp(Endpoint{"127.0.0.1", 0});
   acceptor_.open(any.protocol());
   acceptor_.bind(any);
@@ -85,7 +122,7 @@
   return Endpoint{"127.0.0.1", acceptor_.local_endpoint().port()};
 }
 
-Task<void> EndlessTarget::Accept() {
+Task<void> ScriptedTarget::Accept() {
   while (acceptor_.is_open()) {
     error_code ec;
     asio::ip::tcp::socket socket = co_await acceptor_.async_accept(
@@ -98,32 +135,46 @@
   }
 }
 
-Task<void> EndlessTarget::Serve(asio::ip::tcp::socket socket) {
-  std::string request;
+Task<void> ScriptedTarget::Serve(asio::ip::tcp::socket socket) {
+  std::string buf;
   error_code ec;
-  co_await asio::async_read_until(
-      socket, asio::dynamic_buffer(request), "\r\n\r\n",
-      asio::redirect_error(asio::use_awaitable, ec));
-  if (ec) {
-    co_return;
-  }
-  const EndlessShape* const shape =
-      FindShape(Between(request, " ", " HTTP/1.1"));
-  std::string answer = kHead;
-  if (shape != nullptr) {
-    answer = shape->begin;
-  } else {
-    answer +=
-        "Connection: close\r\nContent-Length: " + std::to_string(kAnswerBytes) +
-        "\r\n\r\n" + std::string(kAnswerBytes, 'a');
-  }
-  answer =
-      WithId(std::move(answer), Between(request, "X-Attempt-Id: ", "\r\n"));
-  co_await asio::async_write(socket, asio::buffer(answer),
-                             asio::redirect_error(asio::use_awaitable, ec));
-  while (!ec && shape != nullptr) {
-    co_await asio::async_write(socket, asio::buffer(shape->repeated),
+  while (!ec) {
+    const std::string request = co_await ReadRequest(socket, buf);
+    if (request.empty()) {
+      co_return;
+    }
+    runs_ += 1;
+    const std::string path = Between(request, " ", " HTTP/1.1");
+    const std::string name = path.substr(path.rfind('/') + 1);
+    const std::string id = Between(request, "X-Attempt-Id: ", "\r\n");
+    const EndlessShape* const shape = FindShape(name);
+    const std::string cut_answer = CutAnswer(name);
+    std::string answer;
+    if (shape != nullptr) {
+      answer = shape->begin;
+    } else if (name == "lost" || !cut_answer.empty()) {
+      answer = cut_answer;
+    } else {
+      std::string body = id;
+      body.resize(kAnswerBytes, 'a');
+      answer = kHead + std::string("Content-Length: ") +
+               std::to_string(kAnswerBytes) + "\r\n\r\n" + body;
+    }
+    answer = WithId(std::move(answer), id);
+    co_await asio::async_write(socket, asio::buffer(answer),
                                asio::redirect_error(asio::use_awaitable, ec));
+    if (name == "copy") {
+      co_await SleepFor(kCopyDelay);
+      co_await asio::async_write(socket, asio::buffer(answer),
+                                 asio::redirect_error(asio::use_awaitable, ec));
+    }
+    while (!ec && shape != nullptr) {
+      co_await asio::async_write(socket, asio::buffer(shape->repeated),
+                                 asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (name == "lost" || !cut_answer.empty()) {
+      co_return;
+    }
   }
 }
 
--- a/tests/platform/scripted_target.h
+++ b/tests/platform/scripted_target.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <string>
 #include <vector>
 
@@ -19,28 +20,39 @@
   bool has_answer = false;
 };
 
-/** Fake target that sends without end, for requests whose path ends with the
-    name of a shape; other requests get a complete response of kAnswerBytes. */
-class EndlessTarget {
+/** Fake target whose answer depends on the last part of the request's path:
+
+    - the name of a shape: bytes without end
+    - "copy": the answer, and a second copy of it a little later
+    - "lost": none; the connection is closed
+    - "cut-header", "cut-body", "cut-chunk": closes in the middle of the answer
+    - others: a complete response of kAnswerBytes, which begins with the id of
+      the attempt
+*/
+class ScriptedTarget {
  public:
   static constexpr std::size_t kAnswerBytes = std::size_t{512} * 1024;
 
   /** @param executor  the executor of the event loop */
-  explicit EndlessTarget(const asio::any_io_executor& executor);
-  EndlessTarget(const EndlessTarget&) = delete;
-  EndlessTarget& operator=(const EndlessTarget&) = delete;
+  explicit ScriptedTarget(const asio::any_io_executor& executor);
+  ScriptedTarget(const ScriptedTarget&) = delete;
+  ScriptedTarget& operator=(const ScriptedTarget&) = delete;
 
   /** @returns the address; must be called on the event loop's thread */
   Endpoint Start();
 
+  /** @returns the number of requests that were executed */
+  int runs() const { return runs_; }
+
   /** @returns one shape for each part of a response that may lack its end */
   static const std::vector<EndlessShape>& Shapes();
 
  private:
   Task<void> Accept();
-  static Task<void> Serve(asio::ip::tcp::socket socket);
+  Task<void> Serve(asio::ip::tcp::socket socket);
 
   asio::ip::tcp::acceptor acceptor_;
+  std::atomic<int> runs_{0};
 };
 
 }  // namespace cumin::platform
