--- a/tests/http/body_budget_test.cc
+++ b/tests/http/body_budget_test.cc
@@ -97,8 +97,10 @@
 
   void TestTotalStaysBelowLimitWhateverServersSend() {
     constexpr std::size_t kStep = 2 * kMegabyte;
+    constexpr int kBodies = 50;
     std::vector<std::unique_ptr<Body>> bodies;
-    for (int i = 0; i < 50; ++i) {
+    bodies.reserve(kBodies);
+    for (int i = 0; i < kBodies; ++i) {
       bodies.push_back(std::make_unique<Body>(
           budget_,
           Endpoint{"10.0.0.1", static_cast<std::uint16_t>(1 + i % 5)}));
--- a/tests/http/http_connection_pool_test.cc
+++ b/tests/http/http_connection_pool_test.cc
@@ -262,16 +262,16 @@
   // The parser keeps an incomplete line until its end has arrived; each of
   // these was kept in memory until the timeout.
   void TestEndlessLineIsAborted() {
-    const std::string kChunked =
+    const std::string chunked =
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nId: a\r\n\r\n";
     const std::string filler(0x8000, 'x');
     const std::pair<std::string, std::string> answers[] = {
         {"HTTP/1.1 200 ", filler},
         {"HTTP/1.1 200 OK\r\nFiller: ", filler},
-        {kChunked + "8;name=", filler},
-        {kChunked + "8;", "name=" + std::string(100, 'x') + ";"},
-        {kChunked + "0\r\nTrailer: ", filler},
-        {kChunked + "0\r\n", "Trailer: " + std::string(100, 'x') + "\r\n"}};
+        {chunked + "8;name=", filler},
+        {chunked + "8;", "name=" + std::string(100, 'x') + ";"},
+        {chunked + "0\r\nTrailer: ", filler},
+        {chunked + "0\r\n", "Trailer: " + std::string(100, 'x') + "\r\n"}};
     for (const auto& [begin, repeated] : answers) {
       const test::RawServer server(begin, test::AfterAnswer::kWriteWithoutEnd,
                                    repeated);
--- a/tests/http/http_listener_test.cc
+++ b/tests/http/http_listener_test.cc
@@ -202,9 +202,9 @@
   // A caller could fill the memory with a chunk extension or a trailer that
   // never ends; neither counts towards the limits of header and body.
   void TestEndlessLineOfChunkedBodyIsRefused() {
-    const std::string kChunked =
+    const std::string chunked =
         "POST /p HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
-    for (const std::string& begin : {kChunked + "3;", kChunked + "0\r\nT: "}) {
+    for (const std::string& begin : {chunked + "3;", chunked + "0\r\nT: "}) {
       RawClient caller(bound_);
       caller.Send(begin);
       CPPUNIT_ASSERT_MESSAGE(begin, caller.SendUntilRefused() < kMaxUnread);
--- a/tests/platform/endless_answer_test.cc
+++ b/tests/platform/endless_answer_test.cc
@@ -50,6 +50,7 @@
   void CheckShape(const EndlessShape& shape) {
     const std::string name = shape.name;
     std::vector<std::future<HttpResponse>> faulty;
+    faulty.reserve(kFaultyCalls);
     for (int i = 0; i < kFaultyCalls; ++i) {
       faulty.push_back(std::async(
           std::launch::async, [&] { return Call(*vms_[1], "/p1/" + name); }));
