--- a/modules/cumin_daemon/daemon_context.cc
+++ b/modules/cumin_daemon/daemon_context.cc
@@ -10,7 +10,8 @@
 /** Consecutive announcements missed before a target is considered gone. */
 constexpr int kMissedAnnouncements = 4;
 /** Part of the process's memory that response bodies may take. A body that
-    grows takes up to twice its memory while it is moved. */
+    grows is copied to twice its memory, so that three times this part can be in
+    use for a moment. */
 constexpr double kBodyMemoryShare = 0.2;
 constexpr double kBytesPerMegabyte = 1024 * 1024;
 
--- a/modules/cumin_http/body_budget.h
+++ b/modules/cumin_http/body_budget.h
@@ -26,7 +26,7 @@
   class Reader {
    public:
     virtual ~Reader() = default;
-    /** The body was chosen to be aborted; its bytes no longer count. */
+    /** The body is aborted; its bytes no longer count. */
     virtual void OnBodyAborted() = 0;
   };
 
--- a/tests/platform/endless_answer_test.cc
+++ b/tests/platform/endless_answer_test.cc
@@ -25,7 +25,6 @@
  public:
   void TestEndlessAnswersOnAllSlotsLeaveOtherCallersServed() {
     extra_settings_ = "memory_mb: " + std::to_string(kMemoryMb) + "\n";
-    // Outlives the event loop's work for it, which tearDown() ends.
     target_ = std::make_unique<ScriptedTarget>(loop_->executor());
     loop_->Post([&] { target_endpoint_ = target_->Start(); });
     StartVm("svc");
