Crowds of unfinished requests stay within memory and descriptors

Operators' wish: many bodies of legal size, whole or in pieces, most of them stopping short of their end, ended a process. Bodies of up to 64 KiB were not limited at all, nor were the headers that were being read, the connections and the bodies on the listener for announcements; each body was copied once more to be sent on.

RequestBudget counts what each connection holds, small requests apart from large bodies, and evicts requests that are still being read; a refusal is sent before dispatch only, so it is a true not-run. A body is sent on without a copy. New setting max_fds: accepted connections take 40 % (callers), 30 % (peers) and 5 % each (announcements, readiness) of it.

--- a/modules/cumin_daemon/daemon_context.cc
+++ b/modules/cumin_daemon/daemon_context.cc
@@ -1,5 +1,7 @@
 #include "cumin_daemon/daemon_context.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -13,9 +15,16 @@
     grows is copied to twice its memory, so that three times this part can be in
     use for a moment. */
 constexpr double kBodyMemoryShare = 0.2;
-/** Part of the process's memory that the bodies of requests may take, with the
-    copies that are sent on. */
+/** Part of the process's memory that large bodies of requests may take; small
+    ones may take half as much besides. */
 constexpr double kRequestMemoryShare = 0.25;
+/** As kRequestMemoryShare, for the readiness check and announcements. */
+constexpr double kLocalMemoryShare = 0.03;
+/** Parts of the process's descriptors that accepted connections may take. The
+    rest is for connections to peers, the target and the store. */
+constexpr double kCallerConnectionShare = 0.4;
+constexpr double kPeerConnectionShare = 0.3;
+constexpr double kLocalConnectionShare = 0.05;
 constexpr double kBytesPerMegabyte = 1024 * 1024;
 
 /** @returns that share of the process's memory, in bytes; a default when the
@@ -28,6 +37,14 @@
                                   kBytesPerMegabyte);
 }
 
+/** @returns that share of the process's descriptors, at least 1 */
+std::size_t DescriptorShare(const MeshSettings& settings, double share) {
+  const std::int64_t limit =
+      settings.max_fds > 0 ? settings.max_fds : sysconf(_SC_OPEN_MAX);
+  return static_cast<std::size_t>(
+      std::max(1.0, static_cast<double>(limit) * share));
+}
+
 }  // namespace
 
 DaemonContext::DaemonContext(MeshSettings mesh_settings,
@@ -44,10 +61,21 @@
       connections(loop, MemoryShare(settings, kBodyMemoryShare)),
       request_budget(
           new RequestBudget(MemoryShare(settings, kRequestMemoryShare))),
+      local_budget(new RequestBudget(MemoryShare(settings, kLocalMemoryShare))),
       link(loop, time_source, settings.link_mbps),
       last_store_contact(time_source.Now()),
       announcements(settings.announce_interval * kMissedAnnouncements),
-      chooser(Locality{settings.region, settings.failure_domain}) {}
+      chooser(Locality{settings.region, settings.failure_domain}) {
+  using Origin = RequestBudget::Origin;
+  request_budget->SetMaxConnections(
+      Origin::kCallers, DescriptorShare(settings, kCallerConnectionShare));
+  request_budget->SetMaxConnections(
+      Origin::kPeers, DescriptorShare(settings, kPeerConnectionShare));
+  for (const Origin it : {Origin::kCallers, Origin::kPeers}) {
+    local_budget->SetMaxConnections(
+        it, DescriptorShare(settings, kLocalConnectionShare));
+  }
+}
 
 double DaemonContext::RetryShare() const {
   if (settings.retry_slack == 0) {
--- a/modules/cumin_daemon/daemon_context.h
+++ b/modules/cumin_daemon/daemon_context.h
@@ -37,8 +37,12 @@
   SeededRandom random;
   EventLog log;
   HttpConnectionPool connections;
-  /** The memory for the bodies of callers' and peers' requests. */
+  /** The memory for the requests of callers and peers, and their connections.
+   */
   const RefPtr<RequestBudget> request_budget;
+  /** As request_budget, for the readiness check and announcements, which a
+     crowd of callers must not shut out. */
+  const RefPtr<RequestBudget> local_budget;
   LinkScheduler link;
   /** The active routes; null before the first version. */
   RefPtr<const RouteTable> routes;
--- a/modules/cumin_daemon/hop_codec.cc
+++ b/modules/cumin_daemon/hop_codec.cc
@@ -59,7 +59,7 @@
 }  // namespace
 
 HttpRequest EncodeHop(const MeshCall& call, MonoTime now) {
-  HttpRequest request = call.request;
+  HttpRequest request = call.request.WithoutBody();
   std::ostringstream hop;
   hop << call.attempt << ' ' << call.service << ' ' << call.caller << ' '
       << call.route << ' ' << static_cast<int>(call.kind) << ' '
--- a/modules/cumin_daemon/hop_codec.h
+++ b/modules/cumin_daemon/hop_codec.h
@@ -10,7 +10,8 @@
     receiver's target. */
 constexpr char kHopField[] = "Cumin-Hop";
 
-/** Encodes a call as a request to the daemon beside its target.
+/** Encodes a call as a request to the daemon beside its target, without the
+    body, which is sent from the call.
     @param now  the deadlines are encoded as the time remaining from here, since
                 the clocks of two daemons are not comparable */
 HttpRequest EncodeHop(const MeshCall& call, MonoTime now);
--- a/modules/cumin_daemon/mesh_daemon.cc
+++ b/modules/cumin_daemon/mesh_daemon.cc
@@ -26,6 +26,8 @@
 /** The process exits this long before it would be killed. */
 constexpr Duration kKillMargin = std::chrono::milliseconds(400);
 constexpr Duration kPeerIdleTimeout = std::chrono::seconds(60);
+/** Many times the size of a target's announcement. */
+constexpr std::size_t kMaxLocalBodyBytes = std::size_t{64} << 10U;
 /** How long a started daemon waits for the table of a peer, which knows which
     target process withdrew before. Longer than the round trips to join the
     mesh, and short for the callers of a daemon that reaches no peer. */
@@ -97,8 +99,17 @@
     ListenerLimits limits;
     limits.idle_timeout = kPeerIdleTimeout;
     peer_listener_.SetLimits(limits);
-    caller_listener_.SetRequestBudget(context.request_budget);
-    peer_listener_.SetRequestBudget(context.request_budget);
+    ListenerLimits local_limits;
+    local_limits.max_body_bytes = kMaxLocalBodyBytes;
+    readiness_listener_.SetLimits(local_limits);
+    announcement_listener_.SetLimits(local_limits);
+    using Origin = RequestBudget::Origin;
+    caller_listener_.SetRequestBudget(context.request_budget, Origin::kCallers);
+    peer_listener_.SetRequestBudget(context.request_budget, Origin::kPeers);
+    readiness_listener_.SetRequestBudget(context.local_budget,
+                                         Origin::kCallers);
+    announcement_listener_.SetRequestBudget(context.local_budget,
+                                            Origin::kPeers);
     caller_listener_.SetListener(&caller_cut_reporter_);
     peer_listener_.SetListener(&peer_cut_reporter_);
     config_.SetOnChange([this] { OnRoutesChanged(); });
--- a/modules/cumin_daemon/mesh_settings.cc
+++ b/modules/cumin_daemon/mesh_settings.cc
@@ -13,6 +13,7 @@
 constexpr double kMaxLinkMbps = 1e6;
 constexpr double kMaxRetrySlack = 1e6;
 constexpr double kMaxMemoryMb = 1e6;
+constexpr std::int64_t kMaxFds = 1 << 20;
 
 Endpoint ReadEndpoint(YamlObject& root, const std::string& field) {
   const Result<Endpoint> endpoint = ParseEndpoint(root.RequiredString(field));
@@ -59,6 +60,11 @@
       root.Number("link_mbps", settings.link_mbps, 0, kMaxLinkMbps);
   settings.memory_mb =
       root.Number("memory_mb", settings.memory_mb, 0, kMaxMemoryMb);
+  settings.max_fds =
+      static_cast<int>(root.Int("max_fds", settings.max_fds, 0, kMaxFds));
+  settings.key_withdrawal_limit = ReadSeconds(root, "key_withdrawal_limit_s",
+                                              settings.key_withdrawal_limit);
+  settings.rollouts = root.Bool("rollouts", settings.rollouts);
   const Result<void> checked = root.Finish();
   if (!checked) {
     return checked.error();
--- a/modules/cumin_daemon/mesh_settings.h
+++ b/modules/cumin_daemon/mesh_settings.h
@@ -44,6 +44,15 @@
   /** Memory in megabytes (2^20 bytes) above which this process is killed; 0
      when unknown. */
   double memory_mb = 0;
+  /** File descriptors that this process may open; 0 when unknown. */
+  int max_fds = 0;
+  /** Time after the acknowledgement of a version by which no daemon may serve
+      a request with a key that the version withdrew, also when cut off; zero
+      when a withdrawal is bound by the version's spread only. */
+  Duration key_withdrawal_limit{0};
+  /** Whether targets announce the version of their software, and operators
+      roll versions out. */
+  bool rollouts = false;
 
   friend bool operator==(const MeshSettings& a, const MeshSettings& b) {
     return a.vm == b.vm && a.region == b.region &&
@@ -54,7 +63,10 @@
            a.announce_interval == b.announce_interval &&
            a.leave_limit == b.leave_limit && a.grace == b.grace &&
            a.retry_ratio == b.retry_ratio && a.retry_slack == b.retry_slack &&
-           a.link_mbps == b.link_mbps && a.memory_mb == b.memory_mb;
+           a.link_mbps == b.link_mbps && a.memory_mb == b.memory_mb &&
+           a.max_fds == b.max_fds &&
+           a.key_withdrawal_limit == b.key_withdrawal_limit &&
+           a.rollouts == b.rollouts;
   }
 };
 
--- a/modules/cumin_daemon/peer_client.cc
+++ b/modules/cumin_daemon/peer_client.cc
@@ -39,6 +39,7 @@
   options.connect_timeout = target.region == context_.settings.region
                                 ? kConnectTimeoutInRegion
                                 : kConnectTimeoutAcrossRegions;
+  options.body = &call.request.body;
   ExchangeResult result;
   {
     AbortOnDisconnect guard(caller, true);
--- a/modules/cumin_daemon/peer_handler.cc
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -202,6 +202,13 @@
   text += Gauge("cumin_response_body_bytes", context_.connections.body_bytes());
   text +=
       Gauge("cumin_request_body_bytes", context_.request_budget->total_bytes());
+  text += Gauge(
+      "cumin_caller_connections",
+      context_.request_budget->connections(RequestBudget::Origin::kCallers));
+  text += Gauge("cumin_peer_connections", context_.request_budget->connections(
+                                              RequestBudget::Origin::kPeers));
+  text += Total("cumin_connections_evicted_total",
+                context_.request_budget->evicted());
   text += Total("cumin_responses_oversized_total",
                 context_.connections.oversized());
   text += Gauge("cumin_config_newest_heard", context_.newest_known_version);
--- a/modules/cumin_daemon/target_dispatcher.cc
+++ b/modules/cumin_daemon/target_dispatcher.cc
@@ -306,6 +306,7 @@
                                                          : kMaxConnectionIdle;
   options.correlation_field = context_.names.attempt;
   options.correlation_value = call.attempt;
+  options.body = &call.request.body;
   ExchangeResult result;
   {
     AbortOnDisconnect guard(caller, call.kind != RouteKind::kAtMostOnce);
@@ -475,7 +476,7 @@
 }
 
 HttpRequest TargetDispatcher::MakeRequest(const MeshCall& call) const {
-  HttpRequest request = call.request;
+  HttpRequest request = call.request.WithoutBody();
   const Duration left = call.deadline - context_.clock.Now();
   request.headers.Set(
       context_.names.deadline_ms,
--- a/modules/cumin_http/http_connection_pool.cc
+++ b/modules/cumin_http/http_connection_pool.cc
@@ -192,7 +192,8 @@
 
 /** @returns the error of the write, if any */
 Task<error_code> WriteRequest(Connection& connection, const Endpoint& to,
-                              const HttpRequest& request) {
+                              const HttpRequest& request,
+                              const std::string& body) {
   http::request<http::span_body<const char>> message;
   message.version(11);
   message.method_string(request.method);
@@ -204,12 +205,11 @@
   if (message.find(http::field::host) == message.end()) {
     message.set(http::field::host, ToString(to));
   }
-  const bool has_body = !request.body.empty() || request.method == "POST" ||
-                        request.method == "PUT";
+  const bool has_body =
+      !body.empty() || request.method == "POST" || request.method == "PUT";
   if (has_body) {
-    message.body() =
-        beast::span<const char>(request.body.data(), request.body.size());
-    message.content_length(request.body.size());
+    message.body() = beast::span<const char>(body.data(), body.size());
+    message.content_length(body.size());
   }
   error_code ec;
   co_await http::async_write(connection.stream, message,
@@ -353,7 +353,9 @@
     SetTcpOptions(stream.socket(), TcpLivenessOptions{});
   }
   stream.expires_at(end);
-  const error_code ec = co_await WriteRequest(*connection, to, request);
+  const std::string& body =
+      options.body != nullptr ? *options.body : request.body;
+  const error_code ec = co_await WriteRequest(*connection, to, request, body);
   bool may_keep = false;
   ExchangeResult result;
   if (ec) {
--- a/modules/cumin_http/http_connection_pool.h
+++ b/modules/cumin_http/http_connection_pool.h
@@ -56,6 +56,9 @@
       responses belong to earlier requests and are skipped. */
   std::string correlation_field;
   std::string correlation_value;
+  /** Sent in place of the request's body, without a copy; outlives the
+      exchange. */
+  const std::string* body = nullptr;
 };
 
 /** Cancellation handle of an exchange. */
--- a/modules/cumin_http/http_listener.cc
+++ b/modules/cumin_http/http_listener.cc
@@ -31,8 +31,8 @@
 /** Bytes of a request that are read ahead of the parser at most, unless its
     header may be larger. */
 constexpr std::size_t kMinBufferBytes = std::size_t{16} * 1024;
-/** A body is held twice: as it was received and in the request sent on. */
-constexpr std::size_t kBodyCopies = 2;
+/** Bytes read at a time of a body that is discarded. */
+constexpr std::size_t kDiscardBytes = 4096;
 /** A caller that does not read its response for this long is disconnected. */
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 constexpr int kInternalError = 500;
@@ -42,6 +42,21 @@
 /** Delay after a failed accept, for instance when out of file descriptors. */
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(20);
 
+MonoTime ToMonoTime(SteadyTime time) {
+  return MonoTime(
+      std::chrono::duration_cast<Duration>(time.time_since_epoch()));
+}
+
+MonoTime SteadyNow() { return ToMonoTime(std::chrono::steady_clock::now()); }
+
+/** @returns whether the bytes hold a complete header */
+bool HasCompleteHeader(const beast::flat_buffer& buffer) {
+  static constexpr char kEnd[] = "\r\n\r\n";
+  const auto* const begin = static_cast<const char*>(buffer.data().data());
+  const char* const end = begin + buffer.size();
+  return std::search(begin, end, kEnd, kEnd + sizeof(kEnd) - 1) != end;
+}
+
 HttpResponse EmptyResponse(int status) {
   HttpResponse response;
   response.status = status;
@@ -158,17 +173,35 @@
   ListenerLimits limits_;
   HttpListener::Listener* listener_ = nullptr;
   RefPtr<RequestBudget> request_budget_;
+  RequestBudget::Origin origin_ = RequestBudget::Origin::kCallers;
   bool closes_after_responses_ = false;
   int busy_ = 0;
 
  private:
   struct Connection
       : boost::intrusive::list_base_hook<
-            boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
-    explicit Connection(asio::ip::tcp::socket socket)
-        : stream(std::move(socket)) {}
+            boost::intrusive::link_mode<boost::intrusive::auto_unlink>>,
+        RequestBudget::Owner {
+    Connection(asio::ip::tcp::socket socket, RefPtr<RequestBudget> budget,
+               RequestBudget::Origin origin)
+        : stream(std::move(socket)), memory(std::move(budget), this, origin) {}
+
+    void OnEvicted() override {
+      is_evicted = true;
+      if (has_header) {
+        stream.cancel();
+      } else {
+        // A cancelled read of a header goes on with the bytes that it has.
+        stream.close();
+      }
+    }
 
     beast::tcp_stream stream;
+    RequestBudget::Reservation memory;
+    /** The header of the request in progress was read, so that it can be
+        refused. */
+    bool has_header = false;
+    bool is_evicted = false;
     beast::flat_buffer buffer;
     SteadyTime idle_since = std::chrono::steady_clock::now();
     /** The caller of the request in progress. */
@@ -258,7 +291,11 @@
 
   void Open(asio::ip::tcp::socket socket) {
     SetTcpOptions(socket, TcpLivenessOptions{});
-    auto connection = std::make_shared<Connection>(std::move(socket));
+    auto connection = std::make_shared<Connection>(std::move(socket),
+                                                   request_budget_, origin_);
+    if (!connection->memory.Admit(SteadyNow())) {
+      return;
+    }
     connections_.push_back(*connection);
     asio::co_spawn(executor_, Serve(shared_from_this(), connection),
                    asio::detached);
@@ -284,13 +321,15 @@
     }
     const BusyGuard busy(*this, *connection);
     const SteadyTime began = std::chrono::steady_clock::now();
-    RequestBudget::Reservation memory(request_budget_);
     Parser parser;
-    const error_code ec = co_await Read(*connection, parser, memory);
+    const error_code ec = co_await Read(*connection, parser);
+    connection->memory.Hold();
     const std::string path(parser.get().target());
+    if (connection->is_evicted && !connection->has_header) {
+      co_return false;
+    }
     if (ec == asio::error::no_memory) {
-      HttpRequest head = ReleaseRequest(parser);
-      head.body = std::string();
+      const HttpRequest head = ReleaseRequest(parser).WithoutBody();
       co_await RefuseBody(*connection, head);
       co_return false;
     }
@@ -353,34 +392,49 @@
     connection.buffer.clear();
     connection.buffer.shrink_to_fit();
     connection.idle_since = std::chrono::steady_clock::now();
+    connection.has_header = false;
     connection.stream.expires_never();
+    (void)connection.memory.Resize(0);
+    connection.memory.Await(ToMonoTime(connection.idle_since));
     error_code ec;
     const std::size_t n = co_await connection.stream.async_read_some(
         connection.buffer.prepare(kInitialReadBytes),
         asio::redirect_error(asio::use_awaitable, ec));
     connection.buffer.commit(n);
-    co_return !ec;
+    co_return !ec && !connection.is_evicted;
   }
 
-  /** @param memory  takes the memory of the body
-      @returns the error of the read; asio::error::no_memory when the body does
-      not fit in the request budget */
-  Task<error_code> Read(Connection& connection, Parser& parser,
-                        RequestBudget::Reservation& memory) {
+  /** @returns the error of the read; asio::error::no_memory when the request
+      does not fit in the request budget */
+  Task<error_code> Read(Connection& connection, Parser& parser) {
     parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
     // Bounds what the header limit does not: chunk extensions and trailers.
     connection.buffer.max_size(
         std::max(limits_.max_header_bytes, kMinBufferBytes));
     parser.body_limit(limits_.max_body_bytes);
     error_code ec;
+    connection.has_header = false;
+    connection.memory.Await(SteadyNow());
+    // Reading the rest of a header may fill the whole buffer.
+    const std::size_t header_bytes = HasCompleteHeader(connection.buffer)
+                                         ? connection.buffer.capacity()
+                                         : connection.buffer.max_size();
+    if (!connection.memory.Resize(header_bytes, SteadyNow())) {
+      co_return asio::error::no_memory;
+    }
     connection.stream.expires_after(limits_.header_timeout);
     co_await http::async_read_header(
         connection.stream, connection.buffer, parser,
         asio::redirect_error(asio::use_awaitable, ec));
+    connection.has_header = !ec && !connection.is_evicted;
+    if (connection.is_evicted) {
+      ec = asio::error::no_memory;
+    }
     if (!ec && !parser.is_done()) {
       connection.stream.expires_after(limits_.body_timeout);
-      const auto length = parser.content_length();
-      if (length && !memory.Resize(*length * kBodyCopies)) {
+      const std::size_t length = parser.content_length().value_or(0);
+      if (!connection.memory.Resize(length + connection.buffer.capacity(),
+                                    SteadyNow())) {
         ec = asio::error::no_memory;
       }
     }
@@ -388,12 +442,19 @@
       co_await http::async_read_some(
           connection.stream, connection.buffer, parser,
           asio::redirect_error(asio::use_awaitable, ec));
-      const std::size_t held = parser.get().body().capacity() * kBodyCopies;
-      if (!ec && parser.chunked() && !memory.Resize(held)) {
+      connection.memory.Await(SteadyNow());
+      const std::size_t held =
+          parser.get().body().capacity() + connection.buffer.capacity();
+      const bool fits =
+          !parser.chunked() || connection.memory.Resize(held, SteadyNow());
+      // A read that had ended when it was cancelled reports no error.
+      if (connection.is_evicted || (!ec && !fits)) {
         ec = asio::error::no_memory;
       }
     }
     connection.stream.expires_never();
+    const std::string& body = parser.get().body();
+    (void)connection.memory.Resize(ec || body.empty() ? 0 : body.capacity());
     co_return ec;
   }
 
@@ -401,15 +462,19 @@
       connection that is closed with unread input is reset, and the caller may
       lose the response. */
   Task<void> RefuseBody(Connection& connection, const HttpRequest& head) {
+    connection.buffer.clear();
+    connection.buffer.shrink_to_fit();
+    (void)connection.memory.Resize(0);
     error_code ec = co_await Write(connection, handler_.RefuseBody(head),
                                    BodyMode::kSent, false);
     connection.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send,
                                         ec);
     connection.stream.expires_after(limits_.body_timeout);
-    while (!ec) {
+    connection.memory.Await(SteadyNow());
+    while (!ec && !connection.is_evicted) {
       connection.buffer.clear();
       co_await connection.stream.async_read_some(
-          connection.buffer.prepare(kMinBufferBytes),
+          connection.buffer.prepare(kDiscardBytes),
           asio::redirect_error(asio::use_awaitable, ec));
     }
   }
@@ -507,8 +572,10 @@
   implementation_->listener_ = listener;
 }
 
-void HttpListener::SetRequestBudget(RefPtr<RequestBudget> budget) {
+void HttpListener::SetRequestBudget(RefPtr<RequestBudget> budget,
+                                    RequestBudget::Origin origin) {
   implementation_->request_budget_ = std::move(budget);
+  implementation_->origin_ = origin;
 }
 
 void HttpListener::SetLimits(const ListenerLimits& limits) {
--- a/modules/cumin_http/http_listener.h
+++ b/modules/cumin_http/http_listener.h
@@ -49,8 +49,9 @@
   virtual Task<HttpResponse> Handle(HttpRequest request,
                                     CallerWatch& caller) = 0;
 
-  /** Called in place of Handle when there is no memory for the body.
-      @param head  the request without its body
+  /** Called in place of Handle when there is no memory for the request.
+      @param head  the request without its body; empty when its header was not
+                   read completely
       @returns the response, which may state that the request has not run; a 503
       by default */
   virtual HttpResponse RefuseBody(const HttpRequest& head);
@@ -109,8 +110,9 @@
     closed the connection does not reach the handler either; a later close is
     reported through CallerWatch. When a handler throws, the response is a 500,
     which does not tell whether the request was executed. The body of a response
-    to HEAD is not sent. A request whose body exceeds the RequestBudget is
-    refused, its body is discarded, and its connection is closed.
+    to HEAD is not sent. A request that exceeds the RequestBudget is
+    refused, its body is discarded, and its connection is closed; so is one that
+    the budget evicts while it is being read.
 */
 class HttpListener {
  public:
@@ -137,9 +139,13 @@
   /** @param listener  or null for none; outlives the loop */
   void SetListener(Listener* listener);
 
-  /** Limits the memory for the bodies of requests, until they are answered.
-      @param budget  may be shared with other listeners; null for no limit */
-  void SetRequestBudget(RefPtr<RequestBudget> budget);
+  /** Limits the memory for requests, until they are answered, and the number
+      of connections. Must be called before Start.
+      @param budget  may be shared with other listeners; null for no limit
+      @param origin  of the connections of this listener */
+  void SetRequestBudget(
+      RefPtr<RequestBudget> budget,
+      RequestBudget::Origin origin = RequestBudget::Origin::kCallers);
 
   /** Replaces the limits; they apply from each connection's next request. */
   void SetLimits(const ListenerLimits& limits);
--- a/modules/cumin_http/http_message.h
+++ b/modules/cumin_http/http_message.h
@@ -50,6 +50,11 @@
   std::string query;
   HttpHeaders headers;
   std::string body;
+
+  /** @returns a copy with an empty body */
+  HttpRequest WithoutBody() const {
+    return HttpRequest{method, path, query, headers, std::string()};
+  }
 };
 
 class ResponsePacer;
