A status that HTTP does not know is no answer

Seen on other systems: a target in trouble answered with status 000, and the caller got it as an answer. Statuses below 100, above 599 and 101 now end the exchange as garbled: may have run, the connection is closed, the caller gets 502 at once. The same client reads the responses of peers and of the store.

--- a/modules/cumin_http/http_connection_pool.cc
+++ b/modules/cumin_http/http_connection_pool.cc
@@ -28,6 +28,12 @@
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
 /** Maximum number of responses to earlier requests that an exchange skips. */
 constexpr int kMaxSkippedResponses = 2;
+/** Statuses of HTTP; those below kMinFinalStatus are interim. */
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kMaxStatus = 599;
+/** Ends HTTP on the connection; no request asks for it. */
+constexpr unsigned kSwitchingProtocols = 101;
 /** A pooled connection expires this long before the server would close it. */
 constexpr Duration kIdleMargin = std::chrono::seconds(1);
 /** Idle connections per endpoint. */
@@ -293,7 +299,13 @@
       *oversized += IsOversized(ec) ? 1 : 0;
       co_return FailedAfterSend(ec);
     }
-    const bool is_interim = parser.get().result_int() < 200;
+    const unsigned status = parser.get().result_int();
+    if (status < kMinStatus || status > kMaxStatus ||
+        status == kSwitchingProtocols) {
+      co_return Failed(ExchangeEnd::kGarbled,
+                       "status " + std::to_string(status) + " is no answer");
+    }
+    const bool is_interim = status < kMinFinalStatus;
     if (!is_interim && BelongsToRequest(parser, options)) {
       *may_keep = skipped == 0 && parser.keep_alive() &&
                   !parser.get().need_eof() && connection.buffer.size() == 0;
--- a/tests/platform/faulty_answer_test.cc
+++ b/tests/platform/faulty_answer_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(TestLateCopyOfAnswerIsNotTheNextAnswer);
   CPPUNIT_TEST(TestAnswerThatBreaksOffIsNoSuccess);
   CPPUNIT_TEST(TestCallWithLostAnswerRunsOnce);
+  CPPUNIT_TEST(TestStatusThatIsNoneIsNoAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -69,6 +70,21 @@
     }
   }
 
+  // Seen on other systems: a target in trouble sent an answer whose status was
+  // 000, and the caller got it as an answer.
+  void TestStatusThatIsNoneIsNoAnswer() {
+    for (const char* const it :
+         {"status-000", "status-099", "status-20", "status-2000", "status-600",
+          "status-999", "status-101", "no-status", "no-version"}) {
+      const int runs = target_->runs();
+      const HttpResponse answer = Call(*vms_[1], std::string("/order/") + it);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, 502, answer.status);
+      CPPUNIT_ASSERT_MESSAGE(it, !answer.headers.Has("X-Response-Signature"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, runs + 1, target_->runs());
+      CheckOwnAnswer("/order/");
+    }
+  }
+
  private:
   void CheckOwnAnswer(const std::string& path) {
     const std::string attempt = "attempt-" + std::to_string(next_attempt_);
--- a/tests/platform/scripted_target.cc
+++ b/tests/platform/scripted_target.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <map>
 #include <utility>
 
 #include "cumin_http/socket_options.h"
@@ -64,6 +65,24 @@
   return "";
 }
 
+/** @returns the bytes that the name asks for in place of an answer: a message
+    with a status line that HTTP does not know; or "" */
+std::string OddAnswer(const std::string& name) {
+  static const std::map<std::string, std::string> lines = {
+      {"status-000", "HTTP/1.1 000 OK"}, {"status-099", "HTTP/1.1 099 OK"},
+      {"status-20", "HTTP/1.1 20 OK"},   {"status-2000", "HTTP/1.1 2000 OK"},
+      {"status-600", "HTTP/1.1 600 OK"}, {"status-999", "HTTP/1.1 999 OK"},
+      {"status-101", "HTTP/1.1 101 OK"}, {"no-status", "HTTP/1.1"},
+      {"no-version", "200 OK"}};
+  const auto found = lines.find(name);
+  if (found == lines.end()) {
+    return "";
+  }
+  return found->second +
+         "\r\nX-Attempt-Id: <id>\r\nX-Response-Signature: s\r\n"
+         "Content-Length: 2\r\n\r\nok";
+}
+
 /** Reads one request with a body of the length that its header tells.
     @returns its header, or "" when the connection has ended */
 Task<std::string> ReadRequest(asio::ip::tcp::socket& socket, std::string& buf) {
@@ -149,11 +168,14 @@
     const std::string id = Between(request, "X-Attempt-Id: ", "\r\n");
     const EndlessShape* const shape = FindShape(name);
     const std::string cut_answer = CutAnswer(name);
+    const std::string odd_answer = OddAnswer(name);
     std::string answer;
     if (shape != nullptr) {
       answer = shape->begin;
     } else if (name == "lost" || !cut_answer.empty()) {
       answer = cut_answer;
+    } else if (!odd_answer.empty()) {
+      answer = odd_answer;
     } else {
       std::string body = id;
       body.resize(kAnswerBytes, 'a');
