--- /dev/null
+++ b/modules/cumin_admission/allotment_gate.cc
@@ -0,0 +1,145 @@
+#include "cumin_admission/allotment_gate.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace cumin {
+
+namespace {
+
+/** Time for which a share may be saved up. */
+constexpr double kShareBurstSeconds = 0.5;
+constexpr double kMinShareBurst = 1;
+/** Requests beyond those expected that make a report early. */
+constexpr double kEarlyReportMargin = 2;
+constexpr Duration kForgetAfter = std::chrono::seconds(30);
+/** Shortest and longest Retry-After; the longest is how long the demand of a
+    burst typically lasts. */
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
+
+double ToSeconds(Duration length) {
+  return std::chrono::duration<double>(length).count();
+}
+
+double Capacity(const Customer& customer) {
+  return std::max(1.0, customer.burst);
+}
+
+}  // namespace
+
+AllotmentGate::Usage::Usage(const Customer& customer, MonoTime now)
+    : whole(customer.rate_per_s, Capacity(customer), now),
+      own(0, kMinShareBurst, now),
+      rate_per_s(customer.rate_per_s),
+      burst(customer.burst),
+      reported_at(now) {
+  // The first share starts empty: many daemons get one at once.
+  (void)own.TryTake(now);
+}
+
+AllotmentGate::Usage& AllotmentGate::UsageOf(const Customer& customer,
+                                             MonoTime now) {
+  const auto [it, is_new] =
+      customers_.try_emplace(customer.name, customer, now);
+  Usage& usage = it->second;
+  if (usage.rate_per_s != customer.rate_per_s ||
+      usage.burst != customer.burst) {
+    usage.rate_per_s = customer.rate_per_s;
+    usage.burst = customer.burst;
+    usage.whole.SetRate(customer.rate_per_s, Capacity(customer), now);
+  }
+  return usage;
+}
+
+std::optional<Refusal> AllotmentGate::Admit(const Customer& customer,
+                                            MonoTime now) {
+  if (!customer.IsLimited()) {
+    return std::nullopt;
+  }
+  Usage& usage = UsageOf(customer, now);
+  usage.offered += 1;
+  const bool is_out_of_contact =
+      usage.unanswered_since &&
+      now - *usage.unanswered_since >= kContactTimeout;
+  if (is_out_of_contact && !usage.share_per_s) {
+    SetShare(usage, usage.rate_per_s * usage.demand_part, now);
+  } else if (!is_out_of_contact && now - usage.share_at >= kShareLifetime) {
+    usage.share_per_s.reset();
+  }
+  TokenBucket& bucket = usage.share_per_s ? usage.own : usage.whole;
+  if (!bucket.TryTake(now)) {
+    return NotRun(
+        RefusalReason::kRateLimited, "the customer is above its allotment",
+        std::clamp(bucket.TimeToToken(now), kMinRetryAfter, kMaxRetryAfter));
+  }
+  usage.admitted += 1;
+  return std::nullopt;
+}
+
+void AllotmentGate::Refund(const CustomerId& customer) {
+  const auto found = customers_.find(customer);
+  if (found != customers_.end()) {
+    found->second.admitted -= 1;
+  }
+}
+
+bool AllotmentGate::IsReportDue(const Usage& usage, MonoTime now) {
+  const Duration since = now - usage.reported_at;
+  if (usage.offered == 0 && usage.admitted == 0) {
+    return false;
+  }
+  const double expected = usage.reported_per_s * ToSeconds(since);
+  const bool has_risen = usage.offered > 2 * expected + kEarlyReportMargin ||
+                         usage.share_per_s.has_value();
+  return since >= (has_risen ? kEarlyReportInterval : kReportInterval);
+}
+
+std::vector<UsageReport> AllotmentGate::TakeReports(MonoTime now) {
+  std::vector<UsageReport> reports;
+  for (auto& [name, usage] : customers_) {
+    if (!IsReportDue(usage, now)) {
+      continue;
+    }
+    const Duration interval = now - usage.reported_at;
+    reports.push_back(UsageReport{name, usage.offered, usage.admitted, interval,
+                                  usage.share_per_s});
+    usage.reported_per_s = usage.offered / ToSeconds(interval);
+    usage.offered = 0;
+    usage.admitted = 0;
+    usage.reported_at = now;
+    if (!usage.unanswered_since) {
+      usage.unanswered_since = now;
+    }
+  }
+  return reports;
+}
+
+void AllotmentGate::OnShare(const AllotmentShare& share,
+                            const Customer& customer, MonoTime now) {
+  Usage& usage = UsageOf(customer, now);
+  usage.unanswered_since.reset();
+  usage.demand_part = share.demand_part;
+  SetShare(usage, share.rate_per_s, now);
+}
+
+void AllotmentGate::SetShare(Usage& usage, std::optional<double> per_s,
+                             MonoTime now) {
+  if (per_s) {
+    const double rate = std::max(0.0, *per_s);
+    usage.own.SetRate(rate, std::max(kMinShareBurst, rate * kShareBurstSeconds),
+                      now);
+  }
+  usage.share_per_s = per_s;
+  usage.share_at = now;
+}
+
+void AllotmentGate::Expire(MonoTime now) {
+  for (auto it = customers_.begin(); it != customers_.end();) {
+    const bool is_idle =
+        it->second.offered == 0 && now - it->second.reported_at >= kForgetAfter;
+    it = is_idle ? customers_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace cumin
--- a/modules/cumin_admission/announcement_tracker.h
+++ b/modules/cumin_admission/announcement_tracker.h
@@ -17,6 +17,8 @@
   WallTime process_started_at;
   /** Increases with each report of a process. */
   std::uint64_t sequence = 0;
+  /** Version of its software; may be empty. */
+  std::string version;
   int slots = 0;
   bool leaving = false;
   /** Remaining time until the process has warmed up. */
@@ -26,8 +28,9 @@
                          const TargetAnnouncement& b) {
     return a.instance == b.instance &&
            a.process_started_at == b.process_started_at &&
-           a.sequence == b.sequence && a.slots == b.slots &&
-           a.leaving == b.leaving && a.warmup_remaining == b.warmup_remaining;
+           a.sequence == b.sequence && a.version == b.version &&
+           a.slots == b.slots && a.leaving == b.leaving &&
+           a.warmup_remaining == b.warmup_remaining;
   }
 };
 
--- a/modules/cumin_config/route_delta.cc
+++ b/modules/cumin_config/route_delta.cc
@@ -14,14 +14,56 @@
 constexpr std::size_t kMaxRoutes = 20000;
 constexpr std::size_t kMaxServices = 4096;
 constexpr std::size_t kMaxNameBytes = 1024;
-constexpr int kRouteKindCount = 3;
+constexpr int kRouteKindCount = 4;
+constexpr std::size_t kMaxCustomers = 20000;
+constexpr std::size_t kMaxKeys = 1024;
 
-std::map<std::string, const Route*> ByName(const RouteTable& table) {
-  std::map<std::string, const Route*> routes;
-  for (const Route& it : table.routes()) {
-    routes.emplace(it.name, &it);
+const std::string& NameOf(const Route& route) { return route.name; }
+
+const std::string& NameOf(const Customer& customer) {
+  return customer.name.str();
+}
+
+/** Finds the entries that were added or modified, and the names of those that
+    were removed. */
+template <typename Entry>
+void Compare(const std::vector<Entry>& from, const std::vector<Entry>& to,
+             std::vector<Entry>* changed, std::vector<std::string>* removed) {
+  std::map<std::string, const Entry*> before;
+  for (const Entry& it : from) {
+    before.emplace(NameOf(it), &it);
+  }
+  for (const Entry& it : to) {
+    const auto known = before.find(NameOf(it));
+    if (known == before.end() || !(*known->second == it)) {
+      changed->push_back(it);
+    }
+    if (known != before.end()) {
+      before.erase(known);
+    }
+  }
+  for (const auto& [name, entry] : before) {
+    removed->push_back(name);
+  }
+}
+
+/** @returns the entries after a change */
+template <typename Entry>
+std::vector<Entry> Replace(const std::vector<Entry>& base,
+                           const std::vector<Entry>& changed,
+                           const std::vector<std::string>& removed) {
+  std::set<std::string> replaced(removed.begin(), removed.end());
+  for (const Entry& it : changed) {
+    replaced.insert(NameOf(it));
+  }
+  std::vector<Entry> entries;
+  for (const Entry& it : base) {
+    if (replaced.count(NameOf(it)) == 0) {
+      entries.push_back(it);
+    }
   }
-  return routes;
+  entries.insert(entries.end(), changed.begin(), changed.end());
+  return entries;
 }
 
 Json::Value ToJson(const Route& route) {
@@ -34,6 +76,9 @@
   value["t"] = Json::Int64{route.timeout.count()};
   value["l"] = Json::Int64{route.target_latency.count()};
   value["r"] = route.priority;
+  if (route.is_public) {
+    value["o"] = true;
+  }
   for (const WeightedService& it : route.services) {
     Json::Value part;
     part["s"] = it.service.str();
@@ -58,6 +103,7 @@
   route.timeout = Duration(fields.Int("t"));
   route.target_latency = Duration(fields.Int("l"));
   route.priority = static_cast<int>(fields.Int("r"));
+  route.is_public = fields.Has("o") && fields.Bool("o");
   for (JsonObject& it : fields.Objects("s", kMaxServices)) {
     route.services.push_back(WeightedService{it.Name<ServiceId>("s"),
                                              static_cast<int>(it.Int("w"))});
@@ -65,6 +111,45 @@
   return route;
 }
 
+Json::Value ToJson(const Customer& customer) {
+  Json::Value value;
+  value["n"] = customer.name.str();
+  value["p"] = customer.priority;
+  value["r"] = customer.rate_per_s;
+  value["b"] = customer.burst;
+  value["k"] = Json::Value(Json::arrayValue);
+  for (const KeyDigest& it : customer.keys) {
+    value["k"].append(it.digits());
+  }
+  return value;
+}
+
+Customer ReadCustomer(JsonObject& fields) {
+  Customer customer;
+  customer.name = fields.Name<CustomerId>("n", kMaxNameBytes);
+  customer.priority = static_cast<int>(fields.Int("p"));
+  customer.rate_per_s = fields.Number("r");
+  customer.burst = fields.Number("b");
+  for (const std::string& it :
+       fields.Strings("k", kMaxKeys, KeyDigest::kDigits)) {
+    const Result<KeyDigest> digest = KeyDigest::Parse(it);
+    if (digest) {
+      customer.keys.push_back(digest.value());
+    } else {
+      fields.Fail("k", digest.error().reason);
+    }
+  }
+  return customer;
+}
+
+Json::Value ToJson(const std::vector<std::string>& names) {
+  Json::Value list(Json::arrayValue);
+  for (const std::string& it : names) {
+    list.append(it);
+  }
+  return list;
+}
+
 }  // namespace
 
 RouteDelta MakeRouteDelta(const RouteTable* from, const RouteTable& to) {
@@ -74,22 +159,13 @@
   delta.limits = to.limits();
   if (from == nullptr) {
     delta.changed = to.routes();
+    delta.changed_customers = to.customers();
     return delta;
   }
   delta.from = from->version();
-  std::map<std::string, const Route*> before = ByName(*from);
-  for (const Route& it : to.routes()) {
-    const auto known = before.find(it.name);
-    if (known == before.end() || !(*known->second == it)) {
-      delta.changed.push_back(it);
-    }
-    if (known != before.end()) {
-      before.erase(known);
-    }
-  }
-  for (const auto& [name, route] : before) {
-    delta.removed.push_back(name);
-  }
+  Compare(from->routes(), to.routes(), &delta.changed, &delta.removed);
+  Compare(from->customers(), to.customers(), &delta.changed_customers,
+          &delta.removed_customers);
   return delta;
 }
 
@@ -99,24 +175,18 @@
   document.version = delta.to;
   document.services = delta.services;
   document.limits = delta.limits;
-  if (delta.from != 0) {
-    if (base == nullptr || base->version() != delta.from) {
-      return Error{
-          ErrorCode::kConflict, "", 0, "from",
-          "the delta starts from version " + std::to_string(delta.from)};
-    }
-    std::set<std::string> replaced(delta.removed.begin(), delta.removed.end());
-    for (const Route& it : delta.changed) {
-      replaced.insert(it.name);
-    }
-    for (const Route& it : base->routes()) {
-      if (replaced.count(it.name) == 0) {
-        document.routes.push_back(it);
-      }
-    }
+  if (delta.from == 0) {
+    document.routes = delta.changed;
+    document.customers = delta.changed_customers;
+    return RouteTable::Make(std::move(document), "peer");
   }
-  document.routes.insert(document.routes.end(), delta.changed.begin(),
-                         delta.changed.end());
+  if (base == nullptr || base->version() != delta.from) {
+    return Error{ErrorCode::kConflict, "", 0, "from",
+                 "the delta starts from version " + std::to_string(delta.from)};
+  }
+  document.routes = Replace(base->routes(), delta.changed, delta.removed);
+  document.customers = Replace(base->customers(), delta.changed_customers,
+                               delta.removed_customers);
   return RouteTable::Make(std::move(document), "peer");
 }
 
@@ -128,9 +198,13 @@
   for (const Route& it : delta.changed) {
     value["changed"].append(ToJson(it));
   }
-  value["removed"] = Json::Value(Json::arrayValue);
-  for (const std::string& it : delta.removed) {
-    value["removed"].append(it);
+  value["removed"] = ToJson(delta.removed);
+  // Absent in a deployment without customers.
+  for (const Customer& it : delta.changed_customers) {
+    value["customers"].append(ToJson(it));
+  }
+  if (!delta.removed_customers.empty()) {
+    value["removed_customers"] = ToJson(delta.removed_customers);
   }
   value["services"] = Json::Value(Json::arrayValue);
   for (const ServiceId& it : delta.services) {
@@ -162,6 +236,15 @@
   for (std::string& it : fields.Strings("services", kMaxServices)) {
     delta.services.emplace_back(std::move(it));
   }
+  if (fields.Has("customers")) {
+    for (JsonObject& it : fields.Objects("customers", kMaxCustomers)) {
+      delta.changed_customers.push_back(ReadCustomer(it));
+    }
+  }
+  if (fields.Has("removed_customers")) {
+    delta.removed_customers =
+        fields.Strings("removed_customers", kMaxCustomers, kMaxNameBytes);
+  }
   JsonObject limits = fields.Object("limits");
   delta.limits.max_header_bytes = limits.Unsigned("header_bytes");
   delta.limits.max_body_bytes = limits.Unsigned("body_bytes");
--- a/modules/cumin_config/route_delta.h
+++ b/modules/cumin_config/route_delta.h
@@ -21,6 +21,10 @@
   /** Names of the routes that were removed. */
   std::vector<std::string> removed;
   std::vector<ServiceId> services;
+  /** Customers that were added or modified. */
+  std::vector<Customer> changed_customers;
+  /** Names of the customers that were removed. */
+  std::vector<std::string> removed_customers;
   CallerLimits limits;
 };
 
--- a/modules/cumin_config/route_table.cc
+++ b/modules/cumin_config/route_table.cc
@@ -67,6 +67,8 @@
       return "at-most-once";
     case RouteKind::kDownload:
       return "download";
+    case RouteKind::kUpload:
+      return "upload";
   }
   return "unknown";
 }
@@ -83,6 +85,10 @@
   if (document.routes.size() > kMaxRoutes) {
     return Invalid(source, "routes", "exceeds the maximum number of routes");
   }
+  const Result<void> customers = CheckCustomers(document.customers, source);
+  if (!customers) {
+    return customers.error();
+  }
   const std::set<ServiceId> known(document.services.begin(),
                                   document.services.end());
   std::set<std::pair<std::string, std::string>> host_prefixes;
@@ -101,6 +107,11 @@
 
 RouteTable::RouteTable(RouteDocument document)
     : document_(std::move(document)) {
+  for (std::uint32_t i = 0; i < document_.customers.size(); ++i) {
+    for (const KeyDigest& it : document_.customers[i].keys) {
+      by_key_.emplace(it.digits(), i);
+    }
+  }
   for (std::uint32_t i = 0; i < document_.routes.size(); ++i) {
     by_host_[document_.routes[i].host].push_back(i);
   }
@@ -113,6 +124,18 @@
   }
 }
 
+const Customer* RouteTable::FindCustomer(const KeyDigest& key) const {
+  const auto found = by_key_.find(key.digits());
+  return found == by_key_.end() ? nullptr : &document_.customers[found->second];
+}
+
+const Customer* RouteTable::FindCustomer(const CustomerId& name) const {
+  const auto found =
+      std::find_if(document_.customers.begin(), document_.customers.end(),
+                   [&](const Customer& it) { return it.name == name; });
+  return found == document_.customers.end() ? nullptr : &*found;
+}
+
 const Route* RouteTable::Find(const std::string& host,
                               const std::string& path) const {
   const auto found = by_host_.find(host);
--- a/modules/cumin_config/route_table.h
+++ b/modules/cumin_config/route_table.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cumin_config/customer.h"
 #include "cumin_core/error.h"
 #include "cumin_core/identifier.h"
 #include "cumin_core/ref_counted.h"
@@ -21,9 +22,22 @@
   kAtMostOnce,
   /** Idempotent with large responses. */
   kDownload,
+  /** At most once, with large requests. */
+  kUpload,
 };
 
-/** @returns "idempotent", "at-most-once" or "download" */
+/** @returns true for a kind whose calls run at most once per attempt of the
+    caller */
+inline bool RunsAtMostOnce(RouteKind kind) {
+  return kind == RouteKind::kAtMostOnce || kind == RouteKind::kUpload;
+}
+
+/** @returns true for a kind with large requests or responses */
+inline bool IsLarge(RouteKind kind) {
+  return kind == RouteKind::kDownload || kind == RouteKind::kUpload;
+}
+
+/** @returns "idempotent", "at-most-once", "download" or "upload" */
 const char* ToString(RouteKind kind);
 
 std::ostream& operator<<(std::ostream& out, RouteKind kind);
@@ -55,18 +69,21 @@
   Duration target_latency{0};
   /** 0 is the most urgent. */
   int priority = 0;
+  /** Requests need no customer's key. */
+  bool is_public = false;
   /** Not empty, with a positive sum of weights. */
   std::vector<WeightedService> services;
 
   /** @returns true if a call may be sent to a second target although the first
       may have run it */
-  bool IsRepeatable() const { return kind != RouteKind::kAtMostOnce; }
+  bool IsRepeatable() const { return !RunsAtMostOnce(kind); }
 
   friend bool operator==(const Route& a, const Route& b) {
     return a.name == b.name && a.host == b.host && a.prefix == b.prefix &&
            a.kind == b.kind && a.attempts == b.attempts &&
            a.timeout == b.timeout && a.target_latency == b.target_latency &&
-           a.priority == b.priority && a.services == b.services;
+           a.priority == b.priority && a.is_public == b.is_public &&
+           a.services == b.services;
   }
 };
 
@@ -91,7 +108,11 @@
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::vector<ServiceId> services;
+  /** None when requests need no keys. */
+  std::vector<Customer> customers;
   CallerLimits limits;
+  /** Entries that were read with an assumption, for the log. */
+  std::vector<std::string> remarks;
 };
 
 /** One validated version of the routes. Immutable. */
@@ -108,6 +129,14 @@
   const CallerLimits& limits() const { return document_.limits; }
   const std::vector<Route>& routes() const { return document_.routes; }
   const std::vector<ServiceId>& services() const { return document_.services; }
+  const std::vector<std::string>& remarks() const { return document_.remarks; }
+  const std::vector<Customer>& customers() const { return document_.customers; }
+
+  /** @returns the customer that holds the key, or null */
+  const Customer* FindCustomer(const KeyDigest& key) const;
+
+  /** @returns the customer of that name, or null */
+  const Customer* FindCustomer(const CustomerId& name) const;
 
   /** Finds the route of the host with the longest prefix of the path.
       @param host  without a port, in lower case
@@ -124,6 +153,8 @@
   RouteDocument document_;
   /** Indices of routes by host, sorted by descending prefix length. */
   std::unordered_map<std::string, std::vector<std::uint32_t>> by_host_;
+  /** Indices of customers by the digits of their keys' digests. */
+  std::unordered_map<std::string, std::uint32_t> by_key_;
 };
 
 }  // namespace cumin
--- a/modules/cumin_core/target_load.h
+++ b/modules/cumin_core/target_load.h
@@ -20,11 +20,15 @@
   Duration mean_time{0};
   /** Time that the admitted responses take to cross the VM's link. */
   Duration link_wait{0};
+  /** Part of the VM's link that incoming requests use, in percent of what it
+      carries without delay. */
+  int inbound_percent = 0;
 
   friend bool operator==(const TargetLoad& a, const TargetLoad& b) {
     return a.in_flight == b.in_flight && a.queued == b.queued &&
            a.usable_slots == b.usable_slots && a.leaving == b.leaving &&
-           a.mean_time == b.mean_time && a.link_wait == b.link_wait;
+           a.mean_time == b.mean_time && a.link_wait == b.link_wait &&
+           a.inbound_percent == b.inbound_percent;
   }
 };
 
--- a/modules/cumin_daemon/config_agent.cc
+++ b/modules/cumin_daemon/config_agent.cc
@@ -22,6 +22,10 @@
     succession are coalesced. Well below the time allowed for a version to
     become active on every daemon. */
 constexpr Duration kChangeCoalesceDelay = std::chrono::milliseconds(250);
+/** As kWatchRequestWait, where requests with keys depend on the age of what is
+    known: watch and delay are a small part of the time in which a withdrawn key
+    must not be served any more. */
+constexpr Duration kDatingWatchWait = std::chrono::milliseconds(800);
 constexpr Duration kWatchRoleCheckInterval = std::chrono::milliseconds(300);
 constexpr Duration kAntiEntropyInterval = std::chrono::milliseconds(100);
 constexpr Duration kPeerTimeout = std::chrono::seconds(1);
@@ -58,6 +62,7 @@
 }
 
 Task<bool> ConfigAgent::Fetch(ReadFreshness freshness) {
+  const MonoTime sent_at = context_.clock.Now();
   const Result<StoreItem> item = co_await store_.Get(source_.key(), freshness);
   if (!item && item.error().code != ErrorCode::kNotFound) {
     context_.log.Write(
@@ -68,8 +73,12 @@
   if (!item) {
     co_return true;
   }
+  CheckEra();
   watched_revision_ = std::max(watched_revision_, item.value().revision);
   ApplyFromStore(item.value().value, "store");
+  if (freshness == ReadFreshness::kCurrent) {
+    DateStoreVersion(sent_at);
+  }
   co_return true;
 }
 
@@ -163,13 +172,95 @@
                             context_.clock.Now() - context_.last_store_contact);
 }
 
+bool ConfigAgent::DatesKeys() const {
+  return context_.freshness.limit() > Duration::zero() && context_.routes &&
+         !context_.routes->customers().empty();
+}
+
+Duration ConfigAgent::WatchWait() const {
+  return DatesKeys() ? kDatingWatchWait : kWatchRequestWait;
+}
+
+void ConfigAgent::CheckEra() {
+  const std::uint64_t era = store_.era();
+  if (era <= era_) {
+    return;
+  }
+  if (era_ != 0) {
+    context_.log.Write(
+        EventLine("store-era").With("era", static_cast<std::int64_t>(era)));
+    watched_revision_ = 0;
+    store_version_ = 0;
+    has_orders_ = false;
+  }
+  era_ = era;
+}
+
+void ConfigAgent::DateStoreVersion(MonoTime as_of) {
+  // A store that has come back from a copy may not have the newest version yet.
+  const bool is_newest = store_version_ >= context_.newest_known_version;
+  if (store_version_ == 0 || !is_newest) {
+    return;
+  }
+  (void)context_.freshness.Learn(
+      DatedVersion{era_, watched_revision_, store_version_, as_of},
+      ActiveVersion());
+}
+
+Task<void> ConfigAgent::DateConfiguration() {
+  const auto& known = context_.freshness.latest();
+  if (watched_revision_ == 0 && known && known->era >= era_) {
+    watched_revision_ = known->revision;
+    store_version_ = known->version;
+  }
+  // Without a revision the whole document would have to be read; the daemons
+  // that watch the store do that.
+  if (watched_revision_ != 0) {
+    (void)co_await WatchOnce(Duration::zero());
+  }
+}
+
+Task<void> ConfigAgent::FetchOrders() {
+  const Result<StoreItems> orders =
+      co_await store_.List(source_.rollout_prefix(), ReadFreshness::kCurrent);
+  if (!orders) {
+    context_.log.Write(
+        EventLine("orders-not-read").With("error", Describe(orders.error())));
+    co_return;
+  }
+  CheckEra();
+  has_orders_ = true;
+  for (const StoreItem& it : orders.value().items) {
+    OnOrderItem(it);
+  }
+}
+
+void ConfigAgent::OnOrderItem(const StoreItem& item) {
+  Result<RolloutOrder> order = source_.ParseRollout(item.value);
+  if (!order) {
+    context_.log.Write(EventLine("order-refused")
+                           .With("key", item.key)
+                           .With("error", Describe(order.error())));
+    return;
+  }
+  order.value().era = era_;
+  order.value().revision = item.revision;
+  if (order_listener_ != nullptr) {
+    order_listener_->OnOrder(order.value());
+  }
+}
+
 Task<void> ConfigAgent::RunWatchLoop() {
   while (true) {
-    if (!ShouldWatchStore()) {
+    is_watching_ = ShouldWatchStore();
+    if (!is_watching_) {
       co_await SleepFor(kWatchRoleCheckInterval);
       continue;
     }
-    const bool succeeded = co_await WatchOnce();
+    if (context_.settings.rollouts && !has_orders_) {
+      co_await FetchOrders();
+    }
+    const bool succeeded = co_await WatchOnce(WatchWait());
     if (succeeded) {
       backoff_.Reset();
       co_await SleepFor(kChangeCoalesceDelay);
@@ -181,7 +272,7 @@
   }
 }
 
-Task<bool> ConfigAgent::WatchOnce() {
+Task<bool> ConfigAgent::WatchOnce(Duration wait) {
   if (watched_revision_ == 0) {
     const bool succeeded = co_await Fetch(ReadFreshness::kCurrent);
     if (!succeeded) {
@@ -192,8 +283,11 @@
     }
     co_return true;
   }
-  const Result<StoreItems> changes = co_await store_.Watch(
-      source_.key(), watched_revision_, kWatchRequestWait);
+  const std::string prefix =
+      context_.settings.rollouts ? source_.watch_prefix() : source_.key();
+  const MonoTime sent_at = context_.clock.Now();
+  const Result<StoreItems> changes =
+      co_await store_.Watch(prefix, watched_revision_, wait);
   if (!changes) {
     context_.log.Write(
         EventLine("watch-ended").With("error", Describe(changes.error())));
@@ -202,19 +296,38 @@
     if (!is_history_compacted) {
       co_return false;
     }
+    // The history had the orders, too.
+    has_orders_ = false;
+    watched_revision_ = 0;
     co_return co_await Fetch(ReadFreshness::kCurrent);
   }
-  context_.last_store_contact = context_.clock.Now();
+  const MonoTime now = context_.clock.Now();
+  context_.last_store_contact = now;
+  const std::uint64_t era_before = era_;
+  CheckEra();
+  if (era_ != era_before && era_before != 0) {
+    // The watch began at a revision that means something else now.
+    co_return true;
+  }
   watched_revision_ = std::max(watched_revision_, changes.value().as_of);
   const StoreItem* newest = nullptr;
   for (const StoreItem& it : changes.value().items) {
-    if (it.key == source_.key() && it.revision != 0) {
+    if (it.revision == 0) {
+      continue;
+    }
+    if (it.key == source_.key()) {
       newest = &it;
+    } else if (it.key.rfind(source_.rollout_prefix(), 0) == 0) {
+      OnOrderItem(it);
     }
   }
   if (newest != nullptr && ApplyFromStore(newest->value, "watch")) {
     StartDistribution();
   }
+  // The store answers a watch without changes when its time is over.
+  const bool has_waited =
+      changes.value().items.empty() && now - sent_at >= wait;
+  DateStoreVersion(has_waited ? sent_at + wait : sent_at);
   co_return true;
 }
 
@@ -269,8 +382,13 @@
   if (!table) {
     context_.log.Write(
         EventLine("config-refused").With("error", Describe(table.error())));
+    store_version_ = 0;
     return false;
   }
+  for (const std::string& it : table.value()->remarks()) {
+    context_.log.Write(EventLine("config-remark").With("detail", it));
+  }
+  store_version_ = table.value()->version();
   readiness_.RecordStoreVersion(table.value()->version());
   return Apply(table.value(), source);
 }
@@ -294,6 +412,7 @@
   if (recent_versions_.size() > kMaxRecentVersions) {
     recent_versions_.pop_front();
   }
+  context_.freshness.OnActiveVersion(table->version());
   UpdateReadiness();
   if (on_change_) {
     on_change_();
--- a/modules/cumin_daemon/config_agent.h
+++ b/modules/cumin_daemon/config_agent.h
@@ -12,6 +12,7 @@
 #include "cumin_daemon/peer_client.h"
 #include "cumin_fleet/anti_entropy.h"
 #include "cumin_fleet/fetcher_rotation.h"
+#include "cumin_routing/rollout.h"
 #include "cumin_store/async_store.h"
 
 namespace cumin {
@@ -28,6 +29,27 @@
       @returns the routes, or kInvalid with the field and the reason */
   virtual Result<RefPtr<const RouteTable>> Parse(
       const std::string& text) const = 0;
+
+  /** @returns the prefix of the store keys of the document and of the orders to
+      roll out versions */
+  virtual const std::string& watch_prefix() const = 0;
+
+  /** @returns the prefix of the store keys of the orders */
+  virtual const std::string& rollout_prefix() const = 0;
+
+  /** Parses an order.
+      @returns the order without era and revision, or kInvalid with the field */
+  virtual Result<RolloutOrder> ParseRollout(const std::string& text) const = 0;
+
+  /** @returns the store key of the state of a roll-out */
+  virtual std::string RolloutStateKey(const ServiceId& service) const = 0;
+
+  /** @returns the value of that key */
+  virtual std::string EncodeRolloutState(const Rollout& rollout) const = 0;
+
+  /** Parses a value that EncodeRolloutState made.
+      @returns version and state, or kInvalid with the field */
+  virtual Result<Rollout> ParseRolloutState(const std::string& text) const = 0;
 };
 
 /** Applies each new version of the routes on this daemon; the active version
@@ -53,6 +75,28 @@
       @returns whether the store answered */
   Task<bool> Fetch(ReadFreshness freshness);
 
+  /** Asks the store whether the configuration in force is the newest one, to
+      date it. */
+  Task<void> DateConfiguration();
+
+  /** Receives the orders that this daemon reads in the store. */
+  class OrderListener {
+   public:
+    virtual ~OrderListener() = default;
+    virtual void OnOrder(const RolloutOrder& order) = 0;
+  };
+
+  /** @param listener  outlives this */
+  void SetOrderListener(OrderListener& listener) {
+    order_listener_ = &listener;
+  }
+
+  /** @returns whether this daemon watches the store */
+  bool is_watching() const { return is_watching_; }
+
+  /** @returns whether requests with keys have to be dated here */
+  bool DatesKeys() const;
+
   /** Handles a change pushed by a peer, and forwards it down the tree.
       @param from  the peer
       @param root  root of the distribution tree: the daemon where the change
@@ -92,10 +136,19 @@
   void OnCompose(GossipMessage& message) override;
   void OnMessage(const GossipMessage& message) override;
   Task<void> RunWatchLoop();
-  Task<bool> WatchOnce();
+  /** @param wait  as in AsyncStore::Watch */
+  Task<bool> WatchOnce(Duration wait);
   Task<void> RunAntiEntropy();
   Task<bool> PullFromPeer(Endpoint peer);
   bool ShouldWatchStore();
+  Task<void> FetchOrders();
+  void OnOrderItem(const StoreItem& item);
+  /** Starts over after the store has come back from a copy. */
+  void CheckEra();
+  /** Dates what the store told.
+      @param as_of  a time at which the store had sent nothing newer */
+  void DateStoreVersion(MonoTime as_of);
+  Duration WatchWait() const;
   VersionStamp ActiveStamp() const;
   /** Parses a document from the store and applies it.
       @returns whether it was newer than the active version */
@@ -138,6 +191,12 @@
   std::map<std::uint64_t, std::string> delta_cache_;
   MonoTime active_since_;
   std::uint64_t watched_revision_ = 0;
+  /** Version of the document at watched_revision_; 0 when unknown. */
+  std::uint64_t store_version_ = 0;
+  std::uint64_t era_ = 0;
+  bool is_watching_ = false;
+  bool has_orders_ = false;
+  OrderListener* order_listener_ = nullptr;
   std::function<void()> on_change_;
 };
 
--- a/modules/cumin_daemon/counted_store.cc
+++ b/modules/cumin_daemon/counted_store.cc
@@ -52,4 +52,11 @@
   return Count(metrics_, "end-lease", store_.EndLease(lease));
 }
 
+Task<Result<std::uint64_t>> CountedStore::PutIf(std::string key,
+                                                std::string value,
+                                                std::uint64_t revision) {
+  return Count(metrics_, "put-if",
+               store_.PutIf(std::move(key), std::move(value), revision));
+}
+
 }  // namespace cumin
--- a/modules/cumin_daemon/counted_store.h
+++ b/modules/cumin_daemon/counted_store.h
@@ -25,6 +25,9 @@
   Task<Result<LeaseId>> GrantLease(Duration length) override;
   Task<Result<void>> RenewLease(LeaseId lease) override;
   Task<Result<void>> EndLease(LeaseId lease) override;
+  Task<Result<std::uint64_t>> PutIf(std::string key, std::string value,
+                                    std::uint64_t revision) override;
+  std::uint64_t era() const override { return store_.era(); }
 
  private:
   AsyncStore& store_;
--- a/modules/cumin_daemon/daemon_context.cc
+++ b/modules/cumin_daemon/daemon_context.cc
@@ -65,6 +65,7 @@
       link(loop, time_source, settings.link_mbps),
       last_store_contact(time_source.Now()),
       announcements(settings.announce_interval * kMissedAnnouncements),
+      freshness(settings.key_withdrawal_limit),
       chooser(Locality{settings.region, settings.failure_domain}) {
   using Origin = RequestBudget::Origin;
   request_budget->SetMaxConnections(
--- a/modules/cumin_daemon/daemon_context.h
+++ b/modules/cumin_daemon/daemon_context.h
@@ -3,8 +3,12 @@
 #include <map>
 #include <optional>
 
+#include "cumin_admission/allotment_gate.h"
 #include "cumin_admission/announcement_tracker.h"
+#include "cumin_admission/byte_rate.h"
+#include "cumin_admission/nested_calls.h"
 #include "cumin_admission/suspect_table.h"
+#include "cumin_config/config_freshness.h"
 #include "cumin_config/route_table.h"
 #include "cumin_core/random.h"
 #include "cumin_core/time.h"
@@ -16,6 +20,7 @@
 #include "cumin_http/http_connection_pool.h"
 #include "cumin_http/request_budget.h"
 #include "cumin_routing/retry_budget.h"
+#include "cumin_routing/rollout_plan.h"
 #include "cumin_routing/target_chooser.h"
 
 namespace cumin {
@@ -44,6 +49,8 @@
      crowd of callers must not shut out. */
   const RefPtr<RequestBudget> local_budget;
   LinkScheduler link;
+  /** Bodies of requests that came over this VM's link. */
+  ByteRate inbound;
   /** The active routes; null before the first version. */
   RefPtr<const RouteTable> routes;
   /** The newest version that a peer or the store is known to have. */
@@ -54,6 +61,19 @@
   AnnouncementTracker announcements;
   /** Requests that crash targets. */
   SuspectTable suspects;
+  /** How recent the active routes are known to be. */
+  ConfigFreshness freshness;
+  AllotmentGate allotments;
+  NestedCalls nested_calls;
+  /** Of the live members. */
+  ServiceShares service_shares;
+  /** The roll-outs that operators ordered, by service. */
+  std::map<ServiceId, Rollout> rollouts;
+  /** What the target has answered since the last report, by route; recorded
+      while a version of its service is rolled out. */
+  std::map<std::string, VersionSample> version_samples;
+  /** Calls that hold a slot of the target. */
+  int target_in_flight = 0;
   TargetChooser chooser;
   std::map<ServiceId, RetryBudget> retry_budgets;
   /** The largest number of live daemons seen. Not the present one, since both
--- a/modules/cumin_daemon/fleet_agent.cc
+++ b/modules/cumin_daemon/fleet_agent.cc
@@ -20,10 +20,11 @@
 constexpr Duration kRelayedProbeLifetime = std::chrono::seconds(1);
 constexpr std::size_t kMaxDatagramBytes = 8192;
 constexpr std::size_t kMaxDigestBytes = 20;
+constexpr std::size_t kMaxTopicBytes = 16;
 constexpr std::size_t kMaxMembers = 4096;
 /** Limit of a decompressed answer of a comparison: kMaxMembers entries. */
 constexpr std::size_t kMaxAnswerBytes = std::size_t{4} << 20U;
-constexpr int kKinds = 5;
+constexpr int kKinds = 6;
 /** Members to which a departure, of a daemon or of its target, is gossiped at
     once. */
 constexpr int kLeaveGossipFanout = 6;
@@ -209,7 +210,8 @@
         context_.announcements.IsReady(now) && !context_.is_draining;
     target = AnnouncedTarget{
         context_.settings.service, context_.settings.target, report->slots,
-        is_ready ? TargetState::kReady : TargetState::kLeaving};
+        is_ready ? TargetState::kReady : TargetState::kLeaving,
+        context_.settings.rollouts ? report->version : std::string()};
   }
   if (target != table_.self().target) {
     table_.SetTarget(target, now);
@@ -246,6 +248,7 @@
 void FleetAgent::OnMemberChanged(const Member* before, const Member& after,
                                  MergeSource /*source*/) {
   is_chooser_stale_ = true;
+  members_epoch_ += 1;
   plan_.reset();
   if (after.vm == context_.settings.vm && after.withdrawal) {
     context_.announcements.LearnWithdrawal(*after.withdrawal);
@@ -350,6 +353,11 @@
   if (!value) {
     return;
   }
+  if (value.value().isObject() &&
+      value.value()["t"] == static_cast<int>(Kind::kNote)) {
+    OnNote(value.value());
+    return;
+  }
   const Result<GossipMessage> message = ParseGossip(value.value());
   JsonObject fields(value.value(), "peer");
   const std::uint64_t kind = fields.Unsigned("t");
@@ -395,6 +403,7 @@
       detector_.OnIndirectAck(probe, now);
       break;
     case Kind::kGossipOnly:
+    case Kind::kNote:
       break;
   }
   if (absorbed.needs_table_comparison || table_.Find(from) == nullptr) {
@@ -403,6 +412,38 @@
   UpdateChooser();
 }
 
+void FleetAgent::SendNote(const VmId& to, const std::string& topic,
+                          Json::Value body) {
+  const Member* const member = table_.Find(to);
+  if (member == nullptr) {
+    return;
+  }
+  Json::Value value;
+  value["t"] = static_cast<int>(Kind::kNote);
+  value["f"] = context_.settings.vm.str();
+  value["o"] = to.str();
+  value["g"] = topic;
+  value["b"] = std::move(body);
+  boost::system::error_code ignored;
+  socket_.send_to(asio::buffer(ToJsonText(value)), ToUdp(member->endpoint), 0,
+                  ignored);
+}
+
+void FleetAgent::OnNote(const Json::Value& value) {
+  JsonObject fields(value, "peer");
+  const VmId from = fields.Name<VmId>("f");
+  const VmId to = fields.Name<VmId>("o");
+  const std::string topic = fields.String("g", kMaxTopicBytes);
+  if (!fields.Finish() || to != context_.settings.vm ||
+      !value["b"].isObject()) {
+    return;
+  }
+  const auto handler = note_handlers_.find(topic);
+  if (handler != note_handlers_.end()) {
+    handler->second->OnNote(from, value["b"]);
+  }
+}
+
 void FleetAgent::CompareWith(const Endpoint& peer) {
   if (is_comparing_) {
     return;
@@ -452,9 +493,26 @@
   if (is_chooser_stale_) {
     context_.most_live_daemons =
         std::max(context_.most_live_daemons, table_.live_count());
-    context_.chooser.SetMembers(table_.Live(), context_.clock.Now());
+    const std::vector<Member> live = table_.Live();
+    context_.chooser.SetMembers(live, context_.clock.Now());
+    UpdateServiceShares(live);
     is_chooser_stale_ = false;
   }
 }
 
+void FleetAgent::UpdateServiceShares(const std::vector<Member>& live) {
+  ServiceShares shares;
+  double total = 0;
+  for (const Member& it : live) {
+    if (it.target) {
+      shares[it.target->service] += 1;
+      total += 1;
+    }
+  }
+  for (auto& [service, share] : shares) {
+    share /= total;
+  }
+  context_.service_shares = std::move(shares);
+}
+
 }  // namespace cumin
--- a/modules/cumin_daemon/fleet_agent.h
+++ b/modules/cumin_daemon/fleet_agent.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <json/value.h>
+
 #include <array>
 #include <map>
 #include <set>
@@ -34,6 +36,15 @@
     virtual void OnMessage(const GossipMessage& message) = 0;
   };
 
+  /** Handles notes: small datagrams of other agents. A note may be lost. */
+  class NoteHandler {
+   public:
+    virtual ~NoteHandler() = default;
+    /** @param from  the sender
+        @param body  as passed to SendNote */
+    virtual void OnNote(const VmId& from, const Json::Value& body) = 0;
+  };
+
   /** All arguments outlive this. */
   FleetAgent(DaemonContext& context, PeerClient& peers);
   ~FleetAgent() override;
@@ -41,6 +52,15 @@
   /** @param listener  outlives this */
   void AddListener(Listener& listener) { listeners_.push_back(&listener); }
 
+  /** @param topic    of the notes that the handler gets
+      @param handler  outlives this */
+  void AddNoteHandler(const std::string& topic, NoteHandler& handler) {
+    note_handlers_[topic] = &handler;
+  }
+
+  /** Sends a note, if the receiver is a member. */
+  void SendNote(const VmId& to, const std::string& topic, Json::Value body);
+
   /** Binds the UDP socket and starts probing.
       @returns kUnavailable with the reason when the socket cannot be bound */
   Result<void> Start();
@@ -76,6 +96,10 @@
   const SpreadPlan& Plan();
 
   const Member* Find(const VmId& vm) const { return table_.Find(vm); }
+  /** @returns the live members, this daemon included */
+  std::vector<Member> Live() const { return table_.Live(); }
+  /** @returns a number that changes with the members */
+  std::uint64_t members_epoch() const { return members_epoch_; }
   std::size_t live_count() const { return table_.live_count(); }
 
   /** @returns the regions of the live members */
@@ -86,7 +110,14 @@
   std::vector<Member> PeersOfService(const ServiceId& service) const;
 
  private:
-  enum class Kind { kPing, kAck, kPingRequest, kIndirectAck, kGossipOnly };
+  enum class Kind {
+    kPing,
+    kAck,
+    kPingRequest,
+    kIndirectAck,
+    kGossipOnly,
+    kNote
+  };
 
   /** An indirect probe made on behalf of another daemon. */
   struct RelayedProbe {
@@ -109,17 +140,21 @@
   void SendTo(const Endpoint& to, const VmId& vm, Kind kind, ProbeId probe,
               const VmId& about);
   void OnDatagram(const std::string& text, const Endpoint& sender);
+  void OnNote(const Json::Value& value);
   void CompareWith(const Endpoint& peer);
   void GossipToRandomMembers(int count);
   /** Gossips to members that departed recently, so that a daemon that restarts
       while the store is unavailable learns of the others. */
   void GossipToDepartedMembers(MonoTime now);
   void UpdateChooser();
+  void UpdateServiceShares(const std::vector<Member>& live);
   static Member MakeSelf(const DaemonContext& context);
 
   DaemonContext& context_;
   PeerClient& peers_;
   std::vector<Listener*> listeners_;
+  std::map<std::string, NoteHandler*> note_handlers_;
+  std::uint64_t members_epoch_ = 0;
   MemberTable table_;
   GossipQueue queue_;
   GossipPacer pacer_;
--- a/modules/cumin_daemon/header_names.h
+++ b/modules/cumin_daemon/header_names.h
@@ -15,6 +15,11 @@
   std::string target_instance = "Cumin-Target-Instance";
   /** Service on the VM from which the request originates. */
   std::string caller_service = "Cumin-Caller-Service";
+  /** Carries a customer's key, after the scheme. */
+  std::string key = "Authorization";
+  std::string key_scheme = "Bearer";
+  /** Name of the customer whose key admitted the request, for the target. */
+  std::string customer = "Cumin-Customer";
   /** Digest by which a target marks a complete response of its own. */
   std::string digest = "Cumin-Digest";
   /** Present when the target did not execute the request. */
--- a/modules/cumin_daemon/hop_codec.cc
+++ b/modules/cumin_daemon/hop_codec.cc
@@ -13,7 +13,7 @@
 constexpr char kOutcomeField[] = "Cumin-Outcome";
 constexpr char kDetailField[] = "Cumin-Detail";
 constexpr char kSuspicionField[] = "Cumin-Suspicion";
-constexpr int kKinds = 3;
+constexpr int kKinds = 4;
 constexpr int kOutcomeStatus = 200;
 /** Far beyond the time budget of any call. */
 constexpr Duration kMaxDuration = std::chrono::hours(24);
@@ -107,6 +107,9 @@
        << (outcome.load.leaving ? 1 : 0) << ' '
        << outcome.load.mean_time.count() << ' '
        << outcome.load.link_wait.count();
+  if (outcome.load.inbound_percent > 0) {
+    text << ' ' << outcome.load.inbound_percent;
+  }
   if (outcome.verdict != Verdict::kRan) {
     response = HttpResponse{};
     response.status = kOutcomeStatus;
@@ -131,9 +134,15 @@
   text >> verdict >> reason >> reached_target >> retry_after_us >> has_load >>
       outcome.load.in_flight >> outcome.load.queued >>
       outcome.load.usable_slots >> leaving >> mean_time_us >> link_wait_us;
+  const bool is_complete = !text.fail();
+  // Absent while the link carries next to nothing.
+  if (!(text >> outcome.load.inbound_percent)) {
+    outcome.load.inbound_percent = 0;
+  }
   const bool are_in_range = IsInRange(retry_after_us) &&
                             IsInRange(mean_time_us) && IsInRange(link_wait_us);
-  if (!text || !are_in_range || !ParseVerdict(verdict, &outcome.verdict)) {
+  if (!is_complete || !are_in_range ||
+      !ParseVerdict(verdict, &outcome.verdict)) {
     return MalformedField(kOutcomeField);
   }
   outcome.refusal.verdict = outcome.verdict;
--- a/modules/cumin_daemon/ingress.cc
+++ b/modules/cumin_daemon/ingress.cc
@@ -1,5 +1,7 @@
 #include "cumin_daemon/ingress.h"
 
+#include <strings.h>
+
 #include <algorithm>
 #include <cctype>
 #include <cstdlib>
@@ -10,7 +12,9 @@
 namespace {
 
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -18,6 +22,9 @@
 constexpr Duration kNoConfigurationRetryAfter = std::chrono::milliseconds(200);
 /** Retry-After while a newer version, which may have the route, is pending. */
 constexpr Duration kStaleRoutesRetryAfter = std::chrono::milliseconds(200);
+/** Retry-After while this daemon does not know how recent its configuration
+    is; it asks its peers several times in this time. */
+constexpr Duration kUndatedRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(100);
 /** Maximum number of daemons tried for one attempt; each refusal costs a round
     trip. */
@@ -59,6 +66,10 @@
   return response;
 }
 
+bool IsSameField(const std::string& a, const std::string& b) {
+  return strcasecmp(a.c_str(), b.c_str()) == 0;
+}
+
 /** @returns whether a daemon uses this status to guarantee "not run" */
 bool IsNotRunStatus(int status) {
   return status == 408 || status == 421 || status == 429 ||
@@ -79,8 +90,8 @@
 };
 
 Ingress::Ingress(DaemonContext& context, TargetDispatcher& target,
-                 PeerClient& peers)
-    : context_(context), target_(target), peers_(peers) {}
+                 PeerClient& peers, InboundAgent& inbound)
+    : context_(context), target_(target), peers_(peers), inbound_(inbound) {}
 
 Task<HttpResponse> Ingress::Handle(HttpRequest request, CallerWatch& caller) {
   CallLogBuffer call_log(context_.log,
@@ -144,7 +155,11 @@
     }
     co_return MakeRefusal(kNotFound, "no route for this host and path");
   }
-  Result<MeshCall> call = MakeCall(std::move(request), *route);
+  const KeyDecision key = AuthorizeRequest(*routes, *route, request);
+  if (std::optional<HttpResponse> refused = RefuseKey(key, call_log)) {
+    co_return std::move(*refused);
+  }
+  Result<MeshCall> call = MakeCall(std::move(request), *route, key.customer);
   if (!call) {
     const std::string reason = Describe(call.error());
     call_log.Add(EventLine("ingress-refused")
@@ -167,16 +182,98 @@
   if (!refused) {
     refused = RefuseBeforeExit(call.value(), call_log);
   }
+  if (!refused && key.customer != nullptr) {
+    refused = RefuseAboveAllotment(*key.customer, call_log);
+  }
   if (refused) {
     co_return std::move(*refused);
   }
-  HttpResponse response =
-      co_await ForwardCall(call.value(), *route, caller, call_log);
+  HttpResponse response = co_await ForwardCall(call.value(), *route,
+                                               key.customer, caller, call_log);
   context_.metrics.Observe(CallHop::kIngress, route->name,
                            context_.clock.Now() - arrived_at);
   co_return response;
 }
 
+KeyDecision Ingress::AuthorizeRequest(const RouteTable& routes,
+                                      const Route& route,
+                                      HttpRequest& request) const {
+  if (routes.customers().empty()) {
+    return KeyDecision{};
+  }
+  std::vector<std::string> credentials;
+  for (const HttpHeader& it : request.headers.all()) {
+    if (IsSameField(it.name, context_.names.key)) {
+      credentials.push_back(it.value);
+    }
+  }
+  const KeyDecision key =
+      CheckKey(routes, route, credentials, context_.names.key_scheme,
+               context_.freshness.MayServeKeys(context_.clock.Now()));
+  // The target sees no key, and no name but the one that belongs to the key.
+  request.headers.Remove(context_.names.key);
+  request.headers.Remove(context_.names.customer);
+  if (key.customer != nullptr) {
+    request.headers.Set(context_.names.customer, key.customer->name.str());
+  }
+  return key;
+}
+
+std::optional<HttpResponse> Ingress::RefuseKey(const KeyDecision& key,
+                                               CallLogBuffer& call_log) {
+  const bool is_rejected = key.verdict == KeyVerdict::kRejected;
+  if (!is_rejected && key.verdict != KeyVerdict::kUndated) {
+    return std::nullopt;
+  }
+  const MonoTime now = context_.clock.Now();
+  const std::uint64_t version = context_.routes->version();
+  // A newer version may have added the key.
+  const bool is_behind = context_.newest_known_version > version;
+  context_.metrics.CountKey(ToString(key.verdict));
+  EventLine line("ingress-refused");
+  line.With("reason", is_rejected ? "key-rejected" : "key-undated")
+      .With("version", static_cast<std::int64_t>(version))
+      .With("newest_heard",
+            static_cast<std::int64_t>(context_.newest_known_version));
+  if (const std::optional<Duration> age = context_.freshness.Age(now)) {
+    line.With("dated_ms_ago", *age);
+  }
+  call_log.Add(line, now);
+  if (!is_rejected) {
+    return MakeRefusal(kUnavailable,
+                       "not-run: it is not known whether the key still holds",
+                       kUndatedRetryAfter);
+  }
+  if (is_behind) {
+    return MakeRefusal(kUnavailable,
+                       "not-run: the key is not in this version; a newer one "
+                       "is pending",
+                       kStaleRoutesRetryAfter);
+  }
+  return MakeRefusal(kUnauthorized, "no customer holds the key");
+}
+
+std::optional<HttpResponse> Ingress::RefuseAboveAllotment(
+    const Customer& customer, CallLogBuffer& call_log) {
+  const MonoTime now = context_.clock.Now();
+  const std::optional<Refusal> refusal =
+      context_.allotments.Admit(customer, now);
+  if (!refusal) {
+    return std::nullopt;
+  }
+  call_log.Add(EventLine("ingress-refused")
+                   .With("reason", ToString(refusal->reason))
+                   .With("customer", customer.name.str())
+                   .With("retry_after_ms", refusal->retry_after),
+               now);
+  context_.metrics.CountOutcome(CallHop::kIngress, refusal->verdict,
+                                refusal->reason);
+  return MakeRefusal(
+      kTooManyRequests,
+      std::string(ToString(refusal->verdict)) + ": " + refusal->detail,
+      refusal->retry_after);
+}
+
 std::optional<HttpResponse> Ingress::RefuseBeforeExit(MeshCall& call,
                                                       CallLogBuffer& call_log) {
   if (!context_.exit_at) {
@@ -231,7 +328,8 @@
       record->remaining);
 }
 
-Result<MeshCall> Ingress::MakeCall(HttpRequest request, const Route& route) {
+Result<MeshCall> Ingress::MakeCall(HttpRequest request, const Route& route,
+                                   const Customer* customer) {
   MeshCall call;
   call.attempt = request.headers.Get(context_.names.attempt);
   if (call.attempt.empty()) {
@@ -254,7 +352,7 @@
   call.caller = context_.settings.service;
   call.route = route.name;
   call.kind = route.kind;
-  call.priority = route.priority;
+  call.priority = CombinePriorities(customer, route);
   call.deadline = now + std::min(route.timeout, time_budget);
   // The target latency counts from the caller's first attempt.
   call.wanted_by =
@@ -275,9 +373,17 @@
 }
 
 Task<HttpResponse> Ingress::ForwardCall(MeshCall& call, const Route& route,
+                                        const Customer* customer,
                                         CallerWatch& caller,
                                         CallLogBuffer& call_log) {
   context_.retry_budgets[call.service].OnCall(context_.RetryShare());
+  const std::string customer_name =
+      customer == nullptr ? std::string() : customer->name.str();
+  VersionChoice version;
+  const auto rollout = context_.rollouts.find(call.service);
+  if (rollout != context_.rollouts.end()) {
+    version = ChooseVersion(rollout->second, context_.random.Unit());
+  }
   CallProgress progress;
   CallOutcome outcome =
       FailedOutcome(Verdict::kNotRun, RefusalReason::kNoTarget,
@@ -287,7 +393,9 @@
     ChooseRequest choice;
     choice.service = call.service;
     choice.tried = progress.tried_targets;
-    choice.is_large = call.kind == RouteKind::kDownload;
+    choice.is_large = IsLarge(call.kind);
+    choice.is_upload = call.kind == RouteKind::kUpload;
+    choice.version = version;
     const std::optional<Member> target = context_.chooser.Choose(
         choice, context_.clock.Now(), context_.random, &refusal);
     if (!target) {
@@ -321,6 +429,9 @@
   }
   context_.metrics.CountOutcome(CallHop::kIngress, outcome.verdict,
                                 outcome.refusal.reason);
+  if (outcome.verdict == Verdict::kNotRun && !customer_name.empty()) {
+    context_.allotments.Refund(CustomerId(customer_name));
+  }
   HttpResponse answer = MakeResponse(call, outcome);
   co_return answer;
 }
@@ -332,7 +443,12 @@
   if (target.vm == context_.settings.vm) {
     outcome = co_await target_.Run(call, caller, nullptr);
   } else {
-    outcome = co_await peers_.Run(target, call, caller, call_log);
+    std::optional<CallOutcome> refused = co_await AwaitRoom(target, call);
+    if (refused) {
+      outcome = std::move(*refused);
+    } else {
+      outcome = co_await peers_.Run(target, call, caller, call_log);
+    }
   }
   const MonoTime now = context_.clock.Now();
   context_.chooser.Finish(target.vm);
@@ -362,6 +478,25 @@
   co_return outcome;
 }
 
+Task<std::optional<CallOutcome>> Ingress::AwaitRoom(const Member& target,
+                                                    const MeshCall& call) {
+  const std::size_t n = call.request.body.size();
+  if (call.kind != RouteKind::kUpload || n < InboundAgent::kLargeBytes) {
+    co_return std::nullopt;
+  }
+  const auto left = std::chrono::duration_cast<Duration>(call.deadline -
+                                                         context_.clock.Now());
+  const InboundGrant grant = co_await inbound_.Ask(target.vm, n, left);
+  if (!grant.is_granted) {
+    co_return FailedOutcome(Verdict::kNotRun, RefusalReason::kShed,
+                            "the link of the target's VM is full", grant.wait);
+  }
+  if (grant.wait > Duration::zero()) {
+    co_await SleepFor(grant.wait);
+  }
+  co_return std::nullopt;
+}
+
 bool Ingress::MayRetry(const MeshCall& call, const Route& route,
                        const CallOutcome& outcome,
                        const CallProgress& progress) {
--- a/modules/cumin_daemon/mesh_daemon.cc
+++ b/modules/cumin_daemon/mesh_daemon.cc
@@ -4,10 +4,14 @@
 
 #include <algorithm>
 
+#include "cumin_daemon/allotment_agent.h"
 #include "cumin_daemon/counted_store.h"
+#include "cumin_daemon/freshness_agent.h"
+#include "cumin_daemon/inbound_agent.h"
 #include "cumin_daemon/ingress.h"
 #include "cumin_daemon/peer_discovery.h"
 #include "cumin_daemon/peer_handler.h"
+#include "cumin_daemon/rollout_agent.h"
 #include "cumin_daemon/suspect_agent.h"
 
 namespace cumin {
@@ -87,7 +91,11 @@
         fleet_(context, peers_),
         suspects_(context, peers_, fleet_),
         contacts_(context, store_, fleet_),
-        ingress_(context, target, peers_),
+        rollouts_(context, fleet_, config_, store_, source),
+        freshness_(context, fleet_, config_, rollouts_),
+        allotments_(context, fleet_),
+        inbound_(context, fleet_),
+        ingress_(context, target, peers_, inbound_),
         peer_handler_(context, target, fleet_, config_, suspects_),
         readiness_(context),
         caller_cut_reporter_(context, "callers"),
@@ -137,7 +145,11 @@
     }
     context_.announcements.AwaitHistory(context_.clock.Now() + kHistoryTimeout);
     contacts_.Start();
+    rollouts_.Start();
     config_.Start(fleet_);
+    freshness_.Start();
+    allotments_.Start();
+    inbound_.Start();
     asio::co_spawn(context_.executor, RunTickLoop(), asio::detached);
     asio::co_spawn(context_.executor, RunSweep(), asio::detached);
     context_.log.Write(EventLine("started")
@@ -249,6 +261,10 @@
   FleetAgent fleet_;
   SuspectAgent suspects_;
   PeerDiscovery contacts_;
+  RolloutAgent rollouts_;
+  FreshnessAgent freshness_;
+  AllotmentAgent allotments_;
+  InboundAgent inbound_;
   Ingress ingress_;
   PeerHandler peer_handler_;
   ReadinessHandler readiness_;
--- a/modules/cumin_daemon/mesh_metrics.cc
+++ b/modules/cumin_daemon/mesh_metrics.cc
@@ -132,6 +132,18 @@
     text += MetricLine("cumin_target_exchanges_total", MetricLabel("end", end),
                        count);
   }
+  if (!keys_.empty()) {
+    text += MetricType("cumin_keys_refused_total", "counter");
+  }
+  for (const auto& [verdict, count] : keys_) {
+    text += MetricLine("cumin_keys_refused_total",
+                       MetricLabel("verdict", verdict), count);
+  }
+  text += MetricType("cumin_inbound_grants_total", "counter");
+  text += MetricLine("cumin_inbound_grants_total", MetricLabel("granted", "no"),
+                     inbound_grants_[0]);
+  text += MetricLine("cumin_inbound_grants_total",
+                     MetricLabel("granted", "yes"), inbound_grants_[1]);
   text += MetricType("cumin_target_crashes_total", "counter");
   text +=
       "cumin_target_crashes_total " + std::to_string(target_crashes_) + "\n";
--- a/modules/cumin_daemon/mesh_metrics.h
+++ b/modules/cumin_daemon/mesh_metrics.h
@@ -70,6 +70,15 @@
       @param end  as in the log, e.g. "broken" */
   void CountTargetExchange(const char* end);
 
+  /** Counts a request that was refused for its key.
+      @param verdict  "rejected" or "undated" */
+  void CountKey(const char* verdict) { keys_[verdict] += 1; }
+
+  /** Counts a question for room on the link of a target's VM. */
+  void CountInboundGrant(bool was_granted) {
+    inbound_grants_[was_granted ? 1 : 0] += 1;
+  }
+
   /** Counts a crash of the target. */
   void CountTargetCrash() { target_crashes_ += 1; }
 
@@ -120,6 +129,8 @@
   std::map<OutcomeKey, std::uint64_t> outcomes_;
   std::array<std::uint64_t, 2> retries_{};
   std::map<std::string, std::uint64_t> target_exchanges_;
+  std::map<std::string, std::uint64_t> keys_;
+  std::array<std::uint64_t, 2> inbound_grants_{};
   std::uint64_t target_crashes_ = 0;
   std::map<std::string, std::uint64_t> suspect_pushes_;
   std::map<std::pair<std::string, std::string>, std::uint64_t> store_calls_;
--- a/modules/cumin_daemon/mesh_settings.cc
+++ b/modules/cumin_daemon/mesh_settings.cc
@@ -64,6 +64,11 @@
       static_cast<int>(root.Int("max_fds", settings.max_fds, 0, kMaxFds));
   settings.key_withdrawal_limit = ReadSeconds(root, "key_withdrawal_limit_s",
                                               settings.key_withdrawal_limit);
+  AllotmentTolerance& tolerance = settings.allotment_tolerance;
+  tolerance.window = ReadSeconds(root, "allotment_window_s", tolerance.window);
+  tolerance.part = root.Number("allotment_over", tolerance.part, 0, 1);
+  tolerance.slack =
+      root.Number("allotment_slack", tolerance.slack, 0, kMaxRetrySlack);
   settings.rollouts = root.Bool("rollouts", settings.rollouts);
   const Result<void> checked = root.Finish();
   if (!checked) {
--- a/modules/cumin_daemon/mesh_settings.h
+++ b/modules/cumin_daemon/mesh_settings.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "cumin_admission/allotment_ledger.h"
 #include "cumin_core/endpoint.h"
 #include "cumin_core/error.h"
 #include "cumin_core/identifier.h"
@@ -50,6 +51,8 @@
       a request with a key that the version withdrew, also when cut off; zero
       when a withdrawal is bound by the version's spread only. */
   Duration key_withdrawal_limit{0};
+  /** By how much customers may exceed their allotments. */
+  AllotmentTolerance allotment_tolerance;
   /** Whether targets announce the version of their software, and operators
       roll versions out. */
   bool rollouts = false;
@@ -66,6 +69,7 @@
            a.link_mbps == b.link_mbps && a.memory_mb == b.memory_mb &&
            a.max_fds == b.max_fds &&
            a.key_withdrawal_limit == b.key_withdrawal_limit &&
+           a.allotment_tolerance == b.allotment_tolerance &&
            a.rollouts == b.rollouts;
   }
 };
--- a/modules/cumin_daemon/peer_client.cc
+++ b/modules/cumin_daemon/peer_client.cc
@@ -64,7 +64,7 @@
                             result.reason);
   }
   const bool is_late = result.end == ExchangeEnd::kTimedOut;
-  if (call.kind == RouteKind::kAtMostOnce) {
+  if (RunsAtMostOnce(call.kind)) {
     const AttemptState state = co_await ForbidAt(peer, call, sent_at);
     call_log.Add(EventLine("peer-forbid").With("state", ToString(state)),
                  context_.clock.Now());
--- a/modules/cumin_daemon/peer_discovery.cc
+++ b/modules/cumin_daemon/peer_discovery.cc
@@ -18,8 +18,12 @@
 /** Interval between renewals while they fail. An expired entry is back within
     two seconds of the store's recovery. */
 constexpr Duration kRenewRetry = std::chrono::milliseconds(1200);
+/** An entry that the store lost is back within two seconds. */
+constexpr Duration kEraCheckInterval = std::chrono::milliseconds(500);
 constexpr BackoffSettings kStoreRetryBackoff{std::chrono::milliseconds(150),
                                              std::chrono::milliseconds(1500)};
+/** How long listed contacts are tried before they are listed again. */
+constexpr Duration kContactsLifetime = std::chrono::seconds(3);
 constexpr Duration kSettledCheckInterval = std::chrono::seconds(1);
 
 }  // namespace
@@ -47,17 +51,23 @@
 Task<void> PeerDiscovery::MaintainLease() {
   RetryBackoff backoff(kStoreRetryBackoff);
   while (!context_.is_shutting_down) {
+    if (era_ != store_.era()) {
+      // Leases of an earlier era are gone, or belong to somebody else.
+      era_ = store_.era();
+      lease_ = kNoLease;
+    }
     if (lease_ == kNoLease) {
       const bool written = co_await RegisterContact();
       const Duration pause =
           written ? kRenewInterval : backoff.Next(context_.random);
-      co_await SleepFor(pause);
+      era_ = store_.era();
+      co_await SleepWhileEraLasts(pause);
       continue;
     }
     const Result<void> renewed = co_await store_.RenewLease(lease_);
     if (renewed) {
       backoff.Reset();
-      co_await SleepFor(kRenewInterval);
+      co_await SleepWhileEraLasts(kRenewInterval);
       continue;
     }
     context_.log.Write(EventLine("lease-not-renewed")
@@ -70,6 +80,13 @@
   }
 }
 
+Task<void> PeerDiscovery::SleepWhileEraLasts(Duration length) {
+  const MonoTime until = context_.clock.Now() + length;
+  while (context_.clock.Now() < until && era_ == store_.era()) {
+    co_await SleepFor(kEraCheckInterval);
+  }
+}
+
 Task<bool> PeerDiscovery::RegisterContact() {
   const Result<LeaseId> lease = co_await store_.GrantLease(kLeaseLength);
   if (!lease) {
@@ -109,7 +126,7 @@
   }
 }
 
-Task<bool> PeerDiscovery::TryJoin() {
+Task<bool> PeerDiscovery::ListContacts() {
   const Result<StoreItems> listed =
       co_await store_.List(kContactPrefix, ReadFreshness::kCurrent);
   if (!listed) {
@@ -134,10 +151,26 @@
       contacts.push_back(std::move(contact.value()));
     }
   }
-  if (contacts.empty()) {
+  contacts_ = std::move(contacts);
+  listed_at_ = context_.clock.Now();
+  co_return true;
+}
+
+Task<bool> PeerDiscovery::TryJoin() {
+  // When all daemons restart at once, the contacts do not change; they only
+  // answer later.
+  const bool is_recent = !contacts_.empty() &&
+                         context_.clock.Now() - listed_at_ < kContactsLifetime;
+  if (!is_recent) {
+    const bool has_listed = co_await ListContacts();
+    if (!has_listed) {
+      co_return false;
+    }
+  }
+  if (contacts_.empty()) {
     fleet_.OnHistoryKnown();
   }
-  ContactList list(std::move(contacts), context_.settings.region);
+  ContactList list(contacts_, context_.settings.region);
   bool has_joined = false;
   std::optional<Endpoint> next = list.Next(fleet_.Regions(), context_.random);
   while (next) {
--- a/modules/cumin_daemon/peer_discovery.h
+++ b/modules/cumin_daemon/peer_discovery.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "cumin_daemon/daemon_context.h"
 #include "cumin_daemon/fleet_agent.h"
+#include "cumin_fleet/contact_list.h"
 #include "cumin_store/async_store.h"
 
 namespace cumin {
@@ -30,15 +32,25 @@
   Task<void> MaintainLease();
   Task<void> RunJoinLoop();
   Task<bool> RegisterContact();
+  /** Ends early when the store comes back from a copy. */
+  Task<void> SleepWhileEraLasts(Duration length);
   Task<bool> TryJoin();
+  /** Reads the contacts.
+      @returns whether the store answered */
+  Task<bool> ListContacts();
   std::string Key() const;
 
   DaemonContext& context_;
   AsyncStore& store_;
   FleetAgent& fleet_;
   LeaseId lease_ = kNoLease;
+  /** Era of the store in which the lease was granted. */
+  std::uint64_t era_ = 0;
   /** At least one contact has returned its full member table. */
   bool has_joined_ = false;
+  /** The contacts as listed last. */
+  std::vector<Contact> contacts_;
+  MonoTime listed_at_;
 };
 
 }  // namespace cumin
--- a/modules/cumin_daemon/peer_handler.cc
+++ b/modules/cumin_daemon/peer_handler.cc
@@ -111,6 +111,8 @@
   if (!call) {
     co_return PlainResponse(kBadRequest, Describe(call.error()));
   }
+  context_.inbound.OnBytes(call.value().request.body.size(),
+                           context_.clock.Now());
   const auto pacer = std::make_shared<PeerResponsePacer>(
       context_.link, context_.executor, context_.clock, call.value(), caller);
   CallOutcome outcome = co_await target_.Run(call.value(), caller, pacer.get());
--- a/modules/cumin_daemon/target_dispatcher.cc
+++ b/modules/cumin_daemon/target_dispatcher.cc
@@ -33,6 +33,13 @@
 /** A process reports itself sooner than this after its start; an age beyond it
     comes from a clock that was set. */
 constexpr Duration kMaxReportDelay = std::chrono::seconds(60);
+constexpr double kBytesPerMegabit = 1e6 / 8;
+/** Part of a link that requests may use before they delay others on it. */
+constexpr double kUsableLinkPart = 0.6;
+constexpr double kPercent = 100;
+/** Nested calls start before all others: the runs that make them hold slots
+    until they end. */
+constexpr int kNestedPriority = -1;
 /** Status of a process that is not the one named in the request. */
 constexpr int kMisdirected = 421;
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(100);
@@ -79,7 +86,7 @@
     refused = FailedOutcome(
         SuspectRefusal(SuspectDecision::kQuarantined, fingerprint));
   }
-  if (!refused && call.kind == RouteKind::kAtMostOnce &&
+  if (!refused && RunsAtMostOnce(call.kind) &&
       !attempts_.Begin(call.attempt, now)) {
     const AttemptState state = attempts_.Find(call.attempt);
     refused =
@@ -94,8 +101,7 @@
     outcome = std::move(*refused);
   } else {
     outcome = co_await RunWithSlot(call, fingerprint, caller, pacer, call_log);
-    if (call.kind == RouteKind::kAtMostOnce &&
-        outcome.verdict == Verdict::kNotRun) {
+    if (RunsAtMostOnce(call.kind) && outcome.verdict == Verdict::kNotRun) {
       // Recorded so that the attempt is refused if it arrives again.
       attempts_.Forbid(call.attempt, context_.clock.Now());
     }
@@ -154,6 +160,7 @@
   queue_.Expire(now);
   attempts_.Expire(now);
   runs_.Expire(now);
+  context_.target_in_flight = queue_.in_flight();
 }
 
 TargetLoad TargetDispatcher::Load() const {
@@ -161,6 +168,7 @@
   TargetLoad load = queue_.Load(now);
   load.link_wait = context_.link.Wait();
   load.leaving = context_.is_draining || !context_.announcements.IsReady(now);
+  load.inbound_percent = InboundPercent(now);
   return load;
 }
 
@@ -204,7 +212,7 @@
     CallerWatch& caller, PeerResponsePacer* pacer, CallLogBuffer& call_log) {
   QueuedCall waiting(context_.executor);
   waiting.operation = call.route;
-  waiting.priority = call.priority;
+  waiting.priority = PriorityOf(call);
   waiting.deadline = call.deadline;
   waiting.wanted_by = call.wanted_by;
   const MonoTime arrived = context_.clock.Now();
@@ -270,8 +278,7 @@
     co_return FailedOutcome(SuspectRefusal(decision, fingerprint));
   }
   CallOutcome outcome;
-  if (call.kind == RouteKind::kAtMostOnce &&
-      !attempts_.Dispatch(call.attempt, now)) {
+  if (RunsAtMostOnce(call.kind) && !attempts_.Dispatch(call.attempt, now)) {
     outcome = FailedOutcome(Verdict::kNotRun, RefusalReason::kShed,
                             "the attempt was forbidden while it waited");
   } else {
@@ -302,14 +309,14 @@
   ExchangeOptions options;
   options.timeout =
       std::chrono::duration_cast<Duration>(call.deadline - now) + kAnswerMargin;
-  options.max_idle = call.kind == RouteKind::kAtMostOnce ? kMaxIdleAtMostOnce
-                                                         : kMaxConnectionIdle;
+  options.max_idle =
+      RunsAtMostOnce(call.kind) ? kMaxIdleAtMostOnce : kMaxConnectionIdle;
   options.correlation_field = context_.names.attempt;
   options.correlation_value = call.attempt;
   options.body = &call.request.body;
   ExchangeResult result;
   {
-    AbortOnDisconnect guard(caller, call.kind != RouteKind::kAtMostOnce);
+    AbortOnDisconnect guard(caller, !RunsAtMostOnce(call.kind));
     result = co_await context_.connections.Exchange(
         context_.settings.target, message, options, &guard.abort());
   }
@@ -323,6 +330,9 @@
   context_.metrics.CountTargetExchange(ToString(result.end));
   const ExchangeEnd end = result.end;
   CallOutcome outcome = ClassifyResult(std::move(result));
+  if (outcome.reached_target && !caller.is_gone()) {
+    RecordVersionSample(call, outcome, now);
+  }
   const bool is_over =
       end == ExchangeEnd::kAnswered || end == ExchangeEnd::kNotSent;
   if (is_over) {
@@ -341,6 +351,47 @@
   co_return outcome;
 }
 
+int TargetDispatcher::InboundPercent(MonoTime now) const {
+  const double usable =
+      context_.settings.link_mbps * kBytesPerMegabit * kUsableLinkPart;
+  return usable > 0 ? static_cast<int>(kPercent *
+                                       context_.inbound.PerSecond(now) / usable)
+                    : 0;
+}
+
+int TargetDispatcher::PriorityOf(const MeshCall& call) {
+  if (call.priority == 0) {
+    return call.priority;
+  }
+  context_.nested_calls.OnCall(call.route, call.caller);
+  return context_.nested_calls.IsNested(call.route, context_.service_shares)
+             ? kNestedPriority
+             : call.priority;
+}
+
+void TargetDispatcher::RecordVersionSample(const MeshCall& call,
+                                           const CallOutcome& outcome,
+                                           MonoTime began) {
+  const auto rollout = context_.rollouts.find(call.service);
+  if (rollout == context_.rollouts.end() ||
+      rollout->second.state != RolloutState::kActive) {
+    return;
+  }
+  VersionSample& sample = context_.version_samples[call.route];
+  sample.route = call.route;
+  sample.answers += 1;
+  const bool has_failed =
+      outcome.verdict != Verdict::kRan || outcome.response.status >= 500;
+  if (has_failed) {
+    sample.failures += 1;
+  } else if (context_.announcements.last()->warmup_remaining ==
+             Duration::zero()) {
+    sample.timed += 1;
+    sample.total_time +=
+        std::chrono::duration_cast<Duration>(context_.clock.Now() - began);
+  }
+}
+
 Task<void> TargetDispatcher::CheckForCrash() {
   const MonoTime lost_at = context_.clock.Now();
   const bool is_gone = co_await IsTargetGone(lost_at);
--- a/modules/cumin_daemon/target_dispatcher.h
+++ b/modules/cumin_daemon/target_dispatcher.h
@@ -104,6 +104,15 @@
   void RecordCrash(MonoTime lost_at, Duration within);
   Refusal SuspectRefusal(SuspectDecision decision,
                          const RequestFingerprint& fingerprint) const;
+  /** @returns TargetLoad::inbound_percent */
+  int InboundPercent(MonoTime now) const;
+  /** Records the origin of the call.
+      @returns its priority in the queue */
+  int PriorityOf(const MeshCall& call);
+  /** Records an answer for the roll-out of the service, if there is one.
+      @param began  when the call was dispatched */
+  void RecordVersionSample(const MeshCall& call, const CallOutcome& outcome,
+                           MonoTime began);
   CallOutcome ClassifyResult(ExchangeResult result) const;
   HttpRequest MakeRequest(const MeshCall& call) const;
 
--- a/modules/cumin_fleet/fleet_codec.cc
+++ b/modules/cumin_fleet/fleet_codec.cc
@@ -42,6 +42,9 @@
   value["e"] = ToString(target.endpoint);
   value["c"] = target.slots;
   value["s"] = static_cast<int>(target.state);
+  if (!target.version.empty()) {
+    value["v"] = target.version;
+  }
   return value;
 }
 
@@ -56,6 +59,9 @@
     target.slots = static_cast<int>(slots);
   }
   target.state = ReadEnum<TargetState>(fields, "s", kTargetStates);
+  if (fields.Has("v")) {
+    target.version = fields.String("v", kMaxNameBytes);
+  }
   return target;
 }
 
--- a/modules/cumin_fleet/member.h
+++ b/modules/cumin_fleet/member.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <ostream>
+#include <string>
 
 #include "cumin_core/endpoint.h"
 #include "cumin_core/error.h"
@@ -29,10 +30,12 @@
   /** Number of calls that it can execute concurrently. */
   int slots = 0;
   TargetState state = TargetState::kStarting;
+  /** Version of its software; empty where versions are not rolled out. */
+  std::string version = {};
 
   friend bool operator==(const AnnouncedTarget& a, const AnnouncedTarget& b) {
     return a.service == b.service && a.endpoint == b.endpoint &&
-           a.slots == b.slots && a.state == b.state;
+           a.slots == b.slots && a.state == b.state && a.version == b.version;
   }
 };
 
--- a/modules/cumin_routing/target_chooser.cc
+++ b/modules/cumin_routing/target_chooser.cc
@@ -27,6 +27,7 @@
     full: its load is known less well, and the links between regions are billed.
  */
 constexpr Duration kOtherRegionMargin = std::chrono::milliseconds(100);
+constexpr double kPercent = 100;
 constexpr Duration kNoTargetRetryAfter = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -71,9 +72,8 @@
   const Candidates candidates = FindCandidates(request, now, &has_eligible);
   Target* const chosen =
       candidates.is_full
-          ? PickByExpectedDelay(candidates.targets, request.is_large, now,
-                                random)
-          : PickLessLoaded(candidates.targets, request.is_large, now, random);
+          ? PickByExpectedDelay(candidates.targets, request, now, random)
+          : PickLessLoaded(candidates.targets, request, now, random);
   if (chosen == nullptr) {
     *refusal = Refusal{
         Verdict::kNotRun, RefusalReason::kNoTarget,
@@ -181,16 +181,29 @@
   return decayed + target.own_in_flight / slots;
 }
 
-double TargetChooser::Utilization(const Target& target, bool is_large,
-                                  MonoTime now) {
+double TargetChooser::Utilization(const Target& target,
+                                  const ChooseRequest& request, MonoTime now) {
   const double slots = Utilization(target, now);
-  if (!is_large) {
+  if (request.is_upload) {
+    return std::max(slots, InboundUse(target, now));
+  }
+  if (!request.is_large) {
     return slots;
   }
   return std::max(slots, std::chrono::duration<double>(LinkWait(target, now)) /
                              std::chrono::duration<double>(kFullLinkWait));
 }
 
+double TargetChooser::InboundUse(const Target& target, MonoTime now) {
+  if (!target.has_load) {
+    return 0;
+  }
+  const double age =
+      std::chrono::duration<double>(now - target.load_reported_at) /
+      std::chrono::duration<double>(kLoadDecayTime);
+  return target.load.inbound_percent / kPercent * std::exp(-age);
+}
+
 Duration TargetChooser::LinkWait(const Target& target, MonoTime now) {
   if (!target.has_load) {
     return Duration::zero();
@@ -200,23 +213,54 @@
   return std::max(Duration::zero(), target.load.link_wait - age);
 }
 
+std::vector<TargetChooser::Target*> TargetChooser::TargetsOfVersion(
+    const ServiceId& service, const VersionChoice& choice, MonoTime now) {
+  std::vector<Target*> old_targets;
+  std::vector<Target*> new_targets;
+  bool has_old_version = false;
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return {};
+  }
+  for (const VmId& vm : found->second) {
+    Target& target = targets_.at(vm);
+    const bool is_new = !choice.version.empty() &&
+                        target.member.target->version == choice.version;
+    has_old_version = has_old_version || !is_new;
+    if (IsEligible(target, now)) {
+      (is_new ? new_targets : old_targets).push_back(&target);
+    }
+  }
+  if (choice.version.empty()) {
+    return old_targets;
+  }
+  const auto used = static_cast<std::size_t>(
+      std::ceil(choice.new_targets * static_cast<double>(new_targets.size())));
+  if (used < new_targets.size()) {
+    // The same ones on every daemon.
+    std::sort(new_targets.begin(), new_targets.end(),
+              [](const Target* a, const Target* b) {
+                return a->member.vm < b->member.vm;
+              });
+    new_targets.resize(used);
+  }
+  if (choice.takes_new) {
+    return new_targets.empty() ? old_targets : new_targets;
+  }
+  return has_old_version ? old_targets : new_targets;
+}
+
 TargetChooser::Candidates TargetChooser::FindCandidates(
     const ChooseRequest& request, MonoTime now, bool* has_eligible) {
   std::array<std::vector<Target*>, 3> below_limit;
   std::vector<Target*> healthy;
   std::vector<Target*> failing;
-  const auto service = services_.find(request.service);
-  if (service == services_.end()) {
-    return {};
-  }
-  for (const VmId& vm : service->second) {
-    Target& target = targets_.at(vm);
-    if (!IsEligible(target, now)) {
-      continue;
-    }
+  for (Target* const it :
+       TargetsOfVersion(request.service, request.version, now)) {
+    Target& target = *it;
     *has_eligible = true;
     const bool was_tried = std::find(request.tried.begin(), request.tried.end(),
-                                     vm) != request.tried.end();
+                                     target.member.vm) != request.tried.end();
     if (was_tried) {
       continue;
     }
@@ -226,7 +270,7 @@
     }
     const auto distance = static_cast<std::size_t>(DistanceTo(target));
     healthy.push_back(&target);
-    if (Utilization(target, request.is_large, now) < kFullUtilization) {
+    if (Utilization(target, request, now) < kFullUtilization) {
       below_limit.at(distance).push_back(&target);
     }
   }
@@ -260,7 +304,8 @@
   }
 }
 
-Duration TargetChooser::ExpectedDelay(const Target& target, bool is_large,
+Duration TargetChooser::ExpectedDelay(const Target& target,
+                                      const ChooseRequest& request,
                                       MonoTime now) const {
   static constexpr std::array<Duration, 3> kNetworkDelay = {
       std::chrono::milliseconds(0), std::chrono::milliseconds(5),
@@ -269,40 +314,44 @@
                             ? target.load.mean_time
                             : kDefaultMeanTime;
   const auto calls = Utilization(target, now) + 1.0;
-  const Duration link = is_large ? LinkWait(target, now) : Duration::zero();
+  Duration link = request.is_large ? LinkWait(target, now) : Duration::zero();
+  if (request.is_upload) {
+    link = Duration(static_cast<Duration::rep>(
+        InboundUse(target, now) * static_cast<double>(kFullLinkWait.count())));
+  }
   return link + kNetworkDelay.at(static_cast<std::size_t>(DistanceTo(target))) +
          Duration(static_cast<Duration::rep>(static_cast<double>(mean.count()) *
                                              calls));
 }
 
 TargetChooser::Target* TargetChooser::PickByExpectedDelay(
-    const std::vector<Target*>& candidates, bool is_large, MonoTime now,
-    Random& random) const {
+    const std::vector<Target*>& candidates, const ChooseRequest& request,
+    MonoTime now, Random& random) const {
   std::vector<Target*> near;
   std::vector<Target*> far;
   for (Target* const it : candidates) {
     const bool is_near = DistanceTo(*it) != Distance::kOtherRegion;
     (is_near ? near : far).push_back(it);
   }
-  Target* const nearest = SampleByExpectedDelay(near, is_large, now, random);
-  Target* const farther = SampleByExpectedDelay(far, is_large, now, random);
+  Target* const nearest = SampleByExpectedDelay(near, request, now, random);
+  Target* const farther = SampleByExpectedDelay(far, request, now, random);
   if (nearest == nullptr || farther == nullptr) {
     return nearest == nullptr ? farther : nearest;
   }
   const bool is_faster =
-      ExpectedDelay(*farther, is_large, now) + kOtherRegionMargin <
-      ExpectedDelay(*nearest, is_large, now);
+      ExpectedDelay(*farther, request, now) + kOtherRegionMargin <
+      ExpectedDelay(*nearest, request, now);
   return is_faster ? farther : nearest;
 }
 
 TargetChooser::Target* TargetChooser::SampleByExpectedDelay(
-    const std::vector<Target*>& candidates, bool is_large, MonoTime now,
-    Random& random) const {
+    const std::vector<Target*>& candidates, const ChooseRequest& request,
+    MonoTime now, Random& random) const {
   Target* best = nullptr;
   for (int i = 0; i < kDelaySamples && !candidates.empty(); ++i) {
     Target* const drawn = candidates.at(random.Below(candidates.size()));
-    if (best == nullptr || ExpectedDelay(*drawn, is_large, now) <
-                               ExpectedDelay(*best, is_large, now)) {
+    if (best == nullptr || ExpectedDelay(*drawn, request, now) <
+                               ExpectedDelay(*best, request, now)) {
       best = drawn;
     }
   }
@@ -310,8 +359,8 @@
 }
 
 TargetChooser::Target* TargetChooser::PickLessLoaded(
-    const std::vector<Target*>& candidates, bool is_large, MonoTime now,
-    Random& random) {
+    const std::vector<Target*>& candidates, const ChooseRequest& request,
+    MonoTime now, Random& random) {
   if (candidates.empty()) {
     return nullptr;
   }
@@ -324,8 +373,7 @@
   if (second == first) {
     second = candidates.at(n - 1);
   }
-  return Utilization(*second, is_large, now) <
-                 Utilization(*first, is_large, now)
+  return Utilization(*second, request, now) < Utilization(*first, request, now)
              ? second
              : first;
 }
--- a/modules/cumin_routing/target_chooser.h
+++ b/modules/cumin_routing/target_chooser.h
@@ -11,6 +11,7 @@
 #include "cumin_core/verdict.h"
 #include "cumin_fleet/member.h"
 #include "cumin_routing/region_load.h"
+#include "cumin_routing/rollout.h"
 #include "cumin_routing/target_health.h"
 
 namespace cumin {
@@ -34,6 +35,11 @@
       resource like its slots. Links between regions are slow and expensive;
       another region is chosen only when the own region has no target. */
   bool is_large = false;
+  /** The request is large: it counts what large requests already take of the
+      target's link. */
+  bool is_upload = false;
+  /** Which versions of the service's targets may be used. */
+  VersionChoice version = {};
 };
 
 /** Load balancer: chooses the target of each call from the member table and the
@@ -109,7 +115,11 @@
   /** @returns estimated calls per usable slot; 1 means fully utilized */
   static double Utilization(const Target& target, MonoTime now);
   /** For a large response, the higher of slot and link utilization. */
-  static double Utilization(const Target& target, bool is_large, MonoTime now);
+  static double Utilization(const Target& target, const ChooseRequest& request,
+                            MonoTime now);
+  /** @returns the reported part of the link that large requests use, reduced by
+      its age */
+  static double InboundUse(const Target& target, MonoTime now);
   /** @returns the reported backlog of the link, reduced by its age */
   static Duration LinkWait(const Target& target, MonoTime now);
   /** Targets to choose among. */
@@ -119,19 +129,25 @@
     bool is_full = false;
   };
 
+  /** @returns the targets of the service that a roll-out allows for the
+      request */
+  std::vector<Target*> TargetsOfVersion(const ServiceId& service,
+                                        const VersionChoice& choice,
+                                        MonoTime now);
   Candidates FindCandidates(const ChooseRequest& request, MonoTime now,
                             bool* has_eligible);
   static Target* PickLessLoaded(const std::vector<Target*>& candidates,
-                                bool is_large, MonoTime now, Random& random);
-  Duration ExpectedDelay(const Target& target, bool is_large,
+                                const ChooseRequest& request, MonoTime now,
+                                Random& random);
+  Duration ExpectedDelay(const Target& target, const ChooseRequest& request,
                          MonoTime now) const;
   Target* PickByExpectedDelay(const std::vector<Target*>& candidates,
-                              bool is_large, MonoTime now,
+                              const ChooseRequest& request, MonoTime now,
                               Random& random) const;
   /** @returns the sampled target with the least expected delay, or null when
       there are no candidates */
   Target* SampleByExpectedDelay(const std::vector<Target*>& candidates,
-                                bool is_large, MonoTime now,
+                                const ChooseRequest& request, MonoTime now,
                                 Random& random) const;
   void PreferOwnRegion(std::vector<Target*>& candidates) const;
 
--- a/modules/cumin_store/async_store.h
+++ b/modules/cumin_store/async_store.h
@@ -86,6 +86,21 @@
 
   /** Ends a lease and removes its keys. */
   virtual Task<Result<void>> EndLease(LeaseId lease) = 0;
+
+  /** Writes a key unless it was changed.
+      @param revision  the revision at which the key was read; 0 if it must not
+                       exist
+      @returns the store revision after the write; kConflict if the key has
+      another revision */
+  virtual Task<Result<std::uint64_t>> PutIf(std::string key, std::string value,
+                                            std::uint64_t revision) = 0;
+
+  /** @returns the highest era of the store that a response has told; 0 before
+      the first one. It rises when the store comes back from a copy that lacks
+      what was written since; revisions and leases of an earlier era mean
+      nothing in a later one. Responses of an earlier era are dropped as
+      kUnavailable or kOutcomeUnknown. */
+  virtual std::uint64_t era() const = 0;
 };
 
 }  // namespace cumin
