Quarantines outlive a restart of all daemons; the store's era in the stand-in

The daemon that proves it now keeps a copy in the store, under a lease; a starting daemon reads it with the contacts, in the same call. The stand-in store tells its era and can come back from a copy.

--- a/modules/cumin_daemon/peer_discovery.cc
+++ b/modules/cumin_daemon/peer_discovery.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+/** Prefix of all keys that the daemons write. */
+constexpr char kFleetPrefix[] = "cumin/";
 constexpr char kContactPrefix[] = "cumin/contacts/";
 /** Longer than short outages of the store, and short compared with the time to
     replace a VM. */
@@ -29,8 +31,8 @@
 }  // namespace
 
 PeerDiscovery::PeerDiscovery(DaemonContext& context, AsyncStore& store,
-                             FleetAgent& fleet)
-    : context_(context), store_(store), fleet_(fleet) {}
+                             FleetAgent& fleet, SuspectAgent& suspects)
+    : context_(context), store_(store), fleet_(fleet), suspects_(suspects) {}
 
 void PeerDiscovery::Start() {
   asio::co_spawn(context_.executor, MaintainLease(), asio::detached);
@@ -128,7 +130,7 @@
 
 Task<bool> PeerDiscovery::ListContacts() {
   const Result<StoreItems> listed =
-      co_await store_.List(kContactPrefix, ReadFreshness::kCurrent);
+      co_await store_.List(kFleetPrefix, ReadFreshness::kCurrent);
   if (!listed) {
     context_.log.Write(
         EventLine("contacts-not-read").With("error", Describe(listed.error())));
@@ -140,6 +142,12 @@
         EventLine("contact-skipped").With("error", Describe(it)));
   }
   for (const StoreItem& it : listed.value().items) {
+    if (it.key.rfind(kQuarantineKeyPrefix, 0) == 0) {
+      suspects_.OnKept(it.value);
+    }
+    if (it.key.rfind(kContactPrefix, 0) != 0) {
+      continue;
+    }
     Result<Contact> contact = ParseContact(it.value);
     if (!contact) {
       // The value may be long or unprintable.
--- a/modules/cumin_daemon/peer_discovery.h
+++ b/modules/cumin_daemon/peer_discovery.h
@@ -5,6 +5,7 @@
 
 #include "cumin_daemon/daemon_context.h"
 #include "cumin_daemon/fleet_agent.h"
+#include "cumin_daemon/suspect_agent.h"
 #include "cumin_fleet/contact_list.h"
 #include "cumin_store/async_store.h"
 
@@ -20,7 +21,8 @@
 class PeerDiscovery {
  public:
   /** All arguments outlive this. */
-  PeerDiscovery(DaemonContext& context, AsyncStore& store, FleetAgent& fleet);
+  PeerDiscovery(DaemonContext& context, AsyncStore& store, FleetAgent& fleet,
+                SuspectAgent& suspects);
 
   /** Starts registration and discovery. */
   void Start();
@@ -35,7 +37,7 @@
   /** Ends early when the store comes back from a copy. */
   Task<void> SleepWhileEraLasts(Duration length);
   Task<bool> TryJoin();
-  /** Reads the contacts.
+  /** Reads the contacts, and the quarantined requests beside them.
       @returns whether the store answered */
   Task<bool> ListContacts();
   std::string Key() const;
@@ -43,6 +45,7 @@
   DaemonContext& context_;
   AsyncStore& store_;
   FleetAgent& fleet_;
+  SuspectAgent& suspects_;
   LeaseId lease_ = kNoLease;
   /** Era of the store in which the lease was granted. */
   std::uint64_t era_ = 0;
--- a/modules/cumin_daemon/suspect_agent.cc
+++ b/modules/cumin_daemon/suspect_agent.cc
@@ -14,6 +14,9 @@
 constexpr int kPushTries = 3;
 /** Between two tries, and between exchanges after digests that differ. */
 constexpr Duration kExchangeInterval = std::chrono::milliseconds(500);
+/** Tries to write a quarantine to the store, and the time between two. */
+constexpr int kKeepTries = 20;
+constexpr Duration kKeepInterval = std::chrono::seconds(2);
 constexpr int kHexBase = 16;
 
 /** @returns the crashes as "VM at Unix time" each */
@@ -40,13 +43,14 @@
 }  // namespace
 
 SuspectAgent::SuspectAgent(DaemonContext& context, PeerClient& peers,
-                           FleetAgent& fleet)
-    : context_(context), peers_(peers), fleet_(fleet) {}
+                           FleetAgent& fleet, AsyncStore& store)
+    : context_(context), peers_(peers), fleet_(fleet), store_(store) {}
 
 void SuspectAgent::OnTargetCrash(const std::vector<SuspectRecord>& suspects) {
   for (const SuspectRecord& it : suspects) {
     if (it.IsQuarantined()) {
       LogQuarantine(it, "own target");
+      asio::co_spawn(context_.executor, Keep(it), asio::detached);
     }
   }
   const std::string body = ToJsonText(EncodeSuspects(suspects));
@@ -109,6 +113,35 @@
   return true;
 }
 
+Task<void> SuspectAgent::Keep(SuspectRecord record) {
+  const std::string key = kQuarantineKeyPrefix + ToString(record.fingerprint);
+  const std::string value = ToJsonText(EncodeSuspects({record}));
+  for (int i = 0; i < kKeepTries; ++i) {
+    const Result<LeaseId> lease = co_await store_.GrantLease(record.remaining);
+    if (lease) {
+      const Result<std::uint64_t> put =
+          co_await store_.Put(key, value, lease.value());
+      if (put) {
+        co_return;
+      }
+    }
+    co_await SleepFor(kKeepInterval);
+  }
+  context_.log.Write(EventLine("quarantine-not-kept")
+                         .With("fingerprint", ToString(record.fingerprint)));
+}
+
+void SuspectAgent::OnKept(const std::string& value) {
+  const Result<std::vector<SuspectRecord>> records =
+      ParseSuspects(value, kQuarantineKeyPrefix);
+  if (records) {
+    Import(records.value());
+  } else {
+    context_.log.Write(EventLine("quarantine-not-read")
+                           .With("error", Describe(records.error())));
+  }
+}
+
 Task<void> SuspectAgent::Push(Endpoint peer, std::string body) {
   bool was_taken = false;
   for (int i = 0; i < kPushTries && !was_taken; ++i) {
--- a/tests/standins/platform_store/platform_store_standin.cc
+++ b/tests/standins/platform_store/platform_store_standin.cc
@@ -58,6 +58,21 @@
 
 Task<HttpResponse> PlatformStoreStandin::Handle(HttpRequest request,
                                                 CallerWatch& /*caller*/) {
+  HttpResponse response = co_await Execute(std::move(request));
+  response.headers.Set("Store-Era", std::to_string(era_));
+  co_return response;
+}
+
+void PlatformStoreStandin::ComeBackFromCopy() {
+  items_ = copy_;
+  revision_ = copy_revision_;
+  compacted_revision_ = copy_revision_;
+  changes_.clear();
+  era_ += 1;
+  ExpireAllLeases();
+}
+
+Task<HttpResponse> PlatformStoreStandin::Execute(HttpRequest request) {
   calls += 1;
   if (is_down) {
     co_return MakeResponse(503, Json::Value(Json::objectValue));
--- a/tests/standins/platform_store/platform_store_standin.h
+++ b/tests/standins/platform_store/platform_store_standin.h
@@ -30,6 +30,16 @@
   /** Discards the change history: watches from an earlier revision get 410. */
   void CompactHistory() { compacted_revision_ = revision_; }
 
+  /** Keeps a copy of the items as they are now. */
+  void TakeCopy() {
+    copy_ = items_;
+    copy_revision_ = revision_;
+  }
+
+  /** The store comes back from the copy, in the next era: what was written
+      since is gone, leases too, and its revisions are given out again. */
+  void ComeBackFromCopy();
+
   /** @returns whether the key exists */
   bool Has(const std::string& key) const { return items_.count(key) > 0; }
 
@@ -65,7 +75,12 @@
               std::uint64_t lease);
   void RemoveKey(const std::string& key);
 
+  Task<HttpResponse> Execute(HttpRequest request);
+
   std::map<std::string, Item> items_;
+  std::map<std::string, Item> copy_;
+  std::uint64_t copy_revision_ = 0;
+  std::uint64_t era_ = 1;
   std::vector<Change> changes_;
   std::map<std::uint64_t, bool> leases_;
   std::uint64_t revision_ = 1;
--- a/tests/standins/platform_store/platform_texts.cc
+++ b/tests/standins/platform_store/platform_texts.cc
@@ -33,6 +33,7 @@
   spec["priority"] = 1;
   spec["attempts"] = 2;
   spec["service"] = route.service;
+  spec["public"] = route.is_public;
   return spec;
 }
 
@@ -40,7 +41,8 @@
 
 std::string MakeConfigurationText(int version,
                                   const std::vector<RouteText>& routes,
-                                  int max_body_bytes) {
+                                  int max_body_bytes,
+                                  const std::vector<CustomerText>& customers) {
   Json::Value resources(Json::arrayValue);
   std::set<std::string> services;
   for (const RouteText& it : routes) {
@@ -51,6 +53,16 @@
     resources.append(
         MakeResource("services", it, Json::Value(Json::objectValue)));
   }
+  for (const CustomerText& it : customers) {
+    Json::Value spec;
+    spec["api-keys"] = Json::Value(Json::arrayValue);
+    for (const std::string& key : it.keys) {
+      spec["api-keys"].append(key);
+    }
+    spec["rate-per-s"] = it.rate;
+    spec["burst"] = it.rate;
+    resources.append(MakeResource("tenants", it.name, spec));
+  }
   Json::Value limits;
   limits["max-header-bytes"] = 16384;
   limits["max-body-bytes"] = max_body_bytes;
--- a/tests/standins/platform_store/platform_texts.h
+++ b/tests/standins/platform_store/platform_texts.h
@@ -15,6 +15,15 @@
   /** The platform's name for the kind, e.g. "idempotent". */
   std::string kind;
   std::string service;
+  bool is_public = false;
+};
+
+/** A customer in the operators' configuration. */
+struct CustomerText {
+  std::string name;
+  std::vector<std::string> keys;
+  /** Requests per second, and at once; 0 for no limit. */
+  int rate = 0;
 };
 
 /** Host of every route that MakeConfigurationText writes. */
@@ -22,9 +31,10 @@
 
 /** @param max_body_bytes  limit of the body of a request
     @returns the operators' configuration document, as stored */
-std::string MakeConfigurationText(int version,
-                                  const std::vector<RouteText>& routes,
-                                  int max_body_bytes = 100000);
+std::string MakeConfigurationText(
+    int version, const std::vector<RouteText>& routes,
+    int max_body_bytes = 100000,
+    const std::vector<CustomerText>& customers = {});
 
 /** Names and addresses of a test VM and the processes on it. */
 struct VmAddresses {
