--- a/modules/cumin_admission/allotment_gate.cc
+++ b/modules/cumin_admission/allotment_gate.cc
@@ -12,6 +12,7 @@
 constexpr double kMinShareBurst = 1;
 /** Requests beyond those expected that make a report early. */
 constexpr double kEarlyReportMargin = 2;
+constexpr double kEarlyReportFactor = 1.5;
 constexpr Duration kForgetAfter = std::chrono::seconds(30);
 /** Shortest and longest Retry-After; the longest is how long the demand of a
     burst typically lasts. */
@@ -90,8 +91,12 @@
     return false;
   }
   const double expected = usage.reported_per_s * ToSeconds(since);
-  const bool has_risen = usage.offered > 2 * expected + kEarlyReportMargin ||
-                         usage.share_per_s.has_value();
+  const bool has_risen =
+      usage.offered > kEarlyReportFactor * expected + kEarlyReportMargin ||
+      usage.share_per_s.has_value();
+  if (!usage.has_reported) {
+    return since >= kFirstReportInterval;
+  }
   return since >= (has_risen ? kEarlyReportInterval : kReportInterval);
 }
 
@@ -102,12 +107,13 @@
       continue;
     }
     const Duration interval = now - usage.reported_at;
-    reports.push_back(UsageReport{name, usage.offered, usage.admitted, interval,
-                                  usage.share_per_s});
+    reports.push_back(
+        UsageReport{name, usage.offered, usage.admitted, usage.share_per_s});
     usage.reported_per_s = usage.offered / ToSeconds(interval);
     usage.offered = 0;
     usage.admitted = 0;
     usage.reported_at = now;
+    usage.has_reported = true;
     if (!usage.unanswered_since) {
       usage.unanswered_since = now;
     }
--- a/modules/cumin_admission/allotment_gate.h
+++ b/modules/cumin_admission/allotment_gate.h
@@ -17,15 +17,12 @@
       refused later. */
   int offered = 0;
   int admitted = 0;
-  /** Time that the report covers. */
-  Duration interval{0};
   /** The share that the daemon has now; nothing without one. */
   std::optional<double> share_per_s;
 
   friend bool operator==(const UsageReport& a, const UsageReport& b) {
     return a.customer == b.customer && a.offered == b.offered &&
-           a.admitted == b.admitted && a.interval == b.interval &&
-           a.share_per_s == b.share_per_s;
+           a.admitted == b.admitted && a.share_per_s == b.share_per_s;
   }
 };
 
@@ -67,6 +64,9 @@
   /** Between two reports of a customer whose demand has risen. */
   static constexpr Duration kEarlyReportInterval =
       std::chrono::milliseconds(100);
+  /** From a customer's first request at a daemon to the first report. */
+  static constexpr Duration kFirstReportInterval =
+      std::chrono::milliseconds(300);
   /** Time without an answer of the ledger after which it counts as out of
       reach. */
   static constexpr Duration kContactTimeout = std::chrono::seconds(2);
@@ -112,6 +112,7 @@
     int admitted = 0;
     /** Requests per second in the last report. */
     double reported_per_s = 0;
+    bool has_reported = false;
     MonoTime reported_at;
     /** When the oldest report without an answer was made. */
     std::optional<MonoTime> unanswered_since;
--- a/modules/cumin_admission/allotment_ledger.cc
+++ b/modules/cumin_admission/allotment_ledger.cc
@@ -1,6 +1,7 @@
 #include "cumin_admission/allotment_ledger.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace cumin {
@@ -9,14 +10,15 @@
 
 /** Part of the tolerance that is used; the rest is for requests that are not
     reported yet. */
-constexpr double kUsedTolerance = 0.5;
+constexpr double kUsedTolerance = 0.3;
 /** Part of the rate that is given out even while the ledger takes back. */
 constexpr double kMinRate = 0.5;
-/** Weight of a report beside the demand known before. */
-constexpr double kReportWeight = 0.6;
+/** Time constants of a customer's demand, and of the daemons' parts in it. */
+constexpr Duration kDemandTime = std::chrono::seconds(1);
+constexpr Duration kPartTime = std::chrono::seconds(3);
+/** Recent requests of a daemon below which it is forgotten. */
+constexpr double kNegligible = 0.01;
 constexpr Duration kForgetAfter = std::chrono::seconds(30);
-/** A report that covers less time says little of the demand. */
-constexpr Duration kMinInterval = std::chrono::milliseconds(100);
 
 double ToSeconds(Duration length) {
   return std::chrono::duration<double>(length).count();
@@ -38,21 +40,14 @@
   }
   Refill(account, customer, now);
   account.level -= report.admitted;
-  Demand& demand = account.demands[source];
-  const double per_s =
-      report.offered / ToSeconds(std::max(report.interval, kMinInterval));
-  const bool is_first = demand.reported_at == MonoTime();
-  // A rise counts at once.
-  demand.per_s =
-      is_first || per_s > demand.per_s
-          ? per_s
-          : kReportWeight * per_s + (1 - kReportWeight) * demand.per_s;
-  demand.reported_at = now;
-  const double total = TotalDemand(account, now);
+  account.offered.Add(report.offered, kDemandTime, now);
+  account.demands[source].Add(report.offered, kPartTime, now);
+  const double total =
+      account.offered.At(kDemandTime, now) / ToSeconds(kDemandTime);
 
   AllotmentShare share;
   share.customer = customer.name;
-  share.demand_part = total > 0 ? demand.per_s / total : 0;
+  share.demand_part = PartOf(account, source, now);
   if (report.share_per_s && now - account.created_at < kLearningTime) {
     share.rate_per_s = report.share_per_s;
     return share;
@@ -71,6 +66,27 @@
   return share;
 }
 
+bool AllotmentLedger::IsLimited(const CustomerId& customer) const {
+  const auto found = customers_.find(customer);
+  return found != customers_.end() && found->second.limited_to_per_s;
+}
+
+std::vector<std::pair<VmId, AllotmentShare>> AllotmentLedger::SharesOf(
+    const CustomerId& customer, MonoTime now) const {
+  std::vector<std::pair<VmId, AllotmentShare>> shares;
+  const auto found = customers_.find(customer);
+  if (found == customers_.end() || !found->second.limited_to_per_s) {
+    return shares;
+  }
+  for (const auto& [vm, demand] : found->second.demands) {
+    const double part = PartOf(found->second, vm, now);
+    shares.emplace_back(
+        vm,
+        AllotmentShare{customer, *found->second.limited_to_per_s * part, part});
+  }
+  return shares;
+}
+
 std::vector<AllotmentShare> AllotmentLedger::Limited(std::size_t daemons,
                                                      MonoTime now) const {
   std::vector<AllotmentShare> shares;
@@ -102,23 +118,41 @@
   account.updated_at = now;
 }
 
-double AllotmentLedger::TotalDemand(Account& account, MonoTime now) {
+void AllotmentLedger::Recent::Add(int n, Duration time, MonoTime now) {
+  sum_ = At(time, now) + n;
+  updated_at_ = now;
+}
+
+double AllotmentLedger::Recent::At(Duration time, MonoTime now) const {
+  return sum_ * std::exp(-std::chrono::duration<double>(now - updated_at_) /
+                         std::chrono::duration<double>(time));
+}
+
+double AllotmentLedger::PartOf(const Account& account, const VmId& source,
+                               MonoTime now) {
   double total = 0;
-  for (auto it = account.demands.begin(); it != account.demands.end();) {
-    if (now - it->second.reported_at >= kDemandLifetime) {
-      it = account.demands.erase(it);
-      continue;
-    }
-    total += it->second.per_s;
-    ++it;
+  double own = 0;
+  for (const auto& [vm, demand] : account.demands) {
+    const double recent = demand.At(kPartTime, now);
+    total += recent;
+    own += vm == source ? recent : 0;
   }
-  return total;
+  return total > 0 ? own / total : 0;
 }
 
 void AllotmentLedger::Expire(MonoTime now) {
   for (auto it = customers_.begin(); it != customers_.end();) {
-    it = now - it->second.updated_at >= kForgetAfter ? customers_.erase(it)
-                                                     : std::next(it);
+    if (now - it->second.updated_at >= kForgetAfter) {
+      it = customers_.erase(it);
+      continue;
+    }
+    auto& demands = it->second.demands;
+    for (auto demand = demands.begin(); demand != demands.end();) {
+      demand = demand->second.At(kPartTime, now) < kNegligible
+                   ? demands.erase(demand)
+                   : std::next(demand);
+    }
+    ++it;
   }
 }
 
--- a/modules/cumin_admission/allotment_ledger.h
+++ b/modules/cumin_admission/allotment_ledger.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cumin_admission/allotment_gate.h"
@@ -33,7 +34,7 @@
 */
 class AllotmentLedger {
  public:
-  /** A daemon's demand counts for this long after its last report. */
+  /** A customer counts as limited for this long after its last report. */
   static constexpr Duration kDemandLifetime = std::chrono::seconds(2);
   /** A customer is limited when its demand would use up what it has in this
       time: several reports, and the way there and back. */
@@ -55,6 +56,14 @@
   AllotmentShare OnReport(const VmId& source, const UsageReport& report,
                           const Customer& customer, MonoTime now);
 
+  /** @returns true if the customer is above its allotment */
+  bool IsLimited(const CustomerId& customer) const;
+
+  /** @returns the shares of all daemons that have reported, for a customer that
+      has just been limited: they must not wait for their next report */
+  std::vector<std::pair<VmId, AllotmentShare>> SharesOf(
+      const CustomerId& customer, MonoTime now) const;
+
   /** @returns the customers that are above their allotment, with the share of a
       daemon that has not reported
       @param daemons  number of all daemons */
@@ -66,9 +75,16 @@
   std::size_t size() const { return customers_.size(); }
 
  private:
-  struct Demand {
-    double per_s = 0;
-    MonoTime reported_at;
+  /** Number of recent requests; earlier ones lose weight. */
+  class Recent {
+   public:
+    /** @param time  time constant of the decay */
+    void Add(int n, Duration time, MonoTime now);
+    double At(Duration time, MonoTime now) const;
+
+   private:
+    double sum_ = 0;
+    MonoTime updated_at_;
   };
   struct Account {
     /** Requests that may be admitted at once; negative when more were admitted
@@ -78,11 +94,14 @@
     MonoTime updated_at;
     /** Rate that was given out last; nothing without a limit. */
     std::optional<double> limited_to_per_s;
-    std::unordered_map<VmId, Demand> demands;
+    Recent offered;
+    std::unordered_map<VmId, Recent> demands;
   };
 
   static void Refill(Account& account, const Customer& customer, MonoTime now);
-  static double TotalDemand(Account& account, MonoTime now);
+  /** @returns the daemon's part of the customer's demand, from 0 to 1 */
+  static double PartOf(const Account& account, const VmId& source,
+                       MonoTime now);
   /** @returns the requests that may be admitted beyond the allotment */
   double Margin(const Customer& customer) const;
 
--- a/modules/cumin_daemon/allotment_agent.cc
+++ b/modules/cumin_daemon/allotment_agent.cc
@@ -1,6 +1,7 @@
 #include "cumin_daemon/allotment_agent.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "cumin_core/json_object.h"
@@ -75,7 +76,6 @@
     report["c"] = it.customer.str();
     report["o"] = it.offered;
     report["a"] = it.admitted;
-    report["i"] = Json::Int64{ToMillis(it.interval)};
     if (it.share_per_s) {
       report["r"] = *it.share_per_s;
     }
@@ -118,6 +118,20 @@
   }
 }
 
+void AllotmentAgent::SendShares(const CustomerId& customer,
+                                const VmId& except) {
+  for (const auto& [vm, share] :
+       ledger_.SharesOf(customer, context_.clock.Now())) {
+    Json::Value note;
+    note["s"].append(ToJson(share));
+    if (vm == context_.settings.vm) {
+      OnShares(note["s"]);
+    } else if (vm != except) {
+      fleet_.SendNote(vm, kTopic, std::move(note));
+    }
+  }
+}
+
 void AllotmentAgent::SpreadLimits() {
   const MonoTime now = context_.clock.Now();
   const std::size_t daemons = fleet_.live_count();
@@ -127,6 +141,7 @@
                std::chrono::duration_cast<Duration>(std::chrono::seconds(1)) *
                    static_cast<Duration::rep>(daemons / kMaxSpreadPerS));
   const std::vector<AllotmentShare> limited = ledger_.Limited(daemons, now);
+  LogLimited(limited, daemons);
   if (limited.empty()) {
     return;
   }
@@ -144,6 +159,28 @@
   }
 }
 
+void AllotmentAgent::LogLimited(const std::vector<AllotmentShare>& limited,
+                                std::size_t daemons) {
+  std::set<CustomerId> names;
+  for (const AllotmentShare& it : limited) {
+    names.insert(it.customer);
+    if (limited_.count(it.customer) == 0) {
+      const double rate = *it.rate_per_s * static_cast<double>(daemons);
+      context_.log.Write(
+          EventLine("customer-limited")
+              .With("customer", it.customer.str())
+              .With("rate_per_s", static_cast<std::int64_t>(rate)));
+    }
+  }
+  for (const CustomerId& it : limited_) {
+    if (names.count(it) == 0) {
+      context_.log.Write(
+          EventLine("customer-unlimited").With("customer", it.str()));
+    }
+  }
+  limited_ = std::move(names);
+}
+
 void AllotmentAgent::OnReports(const VmId& from, const Json::Value& reports) {
   if (!reports.isArray() || !context_.routes) {
     return;
@@ -158,7 +195,6 @@
     report.customer = fields.Name<CustomerId>("c", kMaxNameBytes);
     report.offered = ReadCount(fields, "o");
     report.admitted = ReadCount(fields, "a");
-    report.interval = std::chrono::milliseconds(ReadCount(fields, "i"));
     if (fields.Has("r")) {
       report.share_per_s = fields.Number("r");
     }
@@ -167,8 +203,12 @@
     if (!fields.Finish() || customer == nullptr || !customer->IsLimited()) {
       continue;
     }
+    const bool was_limited = ledger_.IsLimited(customer->name);
     const AllotmentShare share = ledger_.OnReport(from, report, *customer, now);
     note["s"].append(ToJson(share));
+    if (!was_limited && ledger_.IsLimited(customer->name)) {
+      SendShares(customer->name, from);
+    }
   }
   if (from == context_.settings.vm) {
     OnShares(note["s"]);
--- a/modules/cumin_daemon/allotment_agent.h
+++ b/modules/cumin_daemon/allotment_agent.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <map>
+#include <set>
+#include <vector>
 
 #include "cumin_admission/allotment_ledger.h"
 #include "cumin_daemon/daemon_context.h"
@@ -27,6 +29,11 @@
   /** Sends the shares of limited customers to the daemons that have not
       reported: each of them may get a request now and then. */
   void SpreadLimits();
+  /** Sends the shares of a customer that has just been limited.
+      @param except  gets its share with the answer to its report */
+  void SendShares(const CustomerId& customer, const VmId& except);
+  void LogLimited(const std::vector<AllotmentShare>& limited,
+                  std::size_t daemons);
   void OnReports(const VmId& from, const Json::Value& reports);
   void OnShares(const Json::Value& shares);
   const VmId& ResponsibleFor(const CustomerId& customer);
@@ -40,6 +47,8 @@
   /** When each daemon reported last. */
   std::map<VmId, MonoTime> reported_at_;
   MonoTime next_spread_;
+  /** The customers that were limited at the last spread. */
+  std::set<CustomerId> limited_;
 };
 
 }  // namespace cumin
--- a/modules/cumin_daemon/mesh_settings.cc
+++ b/modules/cumin_daemon/mesh_settings.cc
@@ -69,6 +69,7 @@
   tolerance.part = root.Number("allotment_over", tolerance.part, 0, 1);
   tolerance.slack =
       root.Number("allotment_slack", tolerance.slack, 0, kMaxRetrySlack);
+  settings.is_first_start = root.Bool("first_start", settings.is_first_start);
   settings.rollouts = root.Bool("rollouts", settings.rollouts);
   const Result<void> checked = root.Finish();
   if (!checked) {
--- a/modules/cumin_daemon/mesh_settings.h
+++ b/modules/cumin_daemon/mesh_settings.h
@@ -47,6 +47,8 @@
   double memory_mb = 0;
   /** File descriptors that this process may open; 0 when unknown. */
   int max_fds = 0;
+  /** The whole mesh starts for the first time, all daemons at once. */
+  bool is_first_start = false;
   /** Time after the acknowledgement of a version by which no daemon may serve
       a request with a key that the version withdrew, also when cut off; zero
       when a withdrawal is bound by the version's spread only. */
@@ -67,7 +69,7 @@
            a.leave_limit == b.leave_limit && a.grace == b.grace &&
            a.retry_ratio == b.retry_ratio && a.retry_slack == b.retry_slack &&
            a.link_mbps == b.link_mbps && a.memory_mb == b.memory_mb &&
-           a.max_fds == b.max_fds &&
+           a.max_fds == b.max_fds && a.is_first_start == b.is_first_start &&
            a.key_withdrawal_limit == b.key_withdrawal_limit &&
            a.allotment_tolerance == b.allotment_tolerance &&
            a.rollouts == b.rollouts;
--- a/modules/cumin_daemon/peer_discovery.cc
+++ b/modules/cumin_daemon/peer_discovery.cc
@@ -26,6 +26,9 @@
                                              std::chrono::milliseconds(1500)};
 /** How long listed contacts are tried before they are listed again. */
 constexpr Duration kContactsLifetime = std::chrono::seconds(3);
+/** In which all daemons of a mesh that starts for the first time have written
+    their entries. */
+constexpr Duration kFirstStartDelay = std::chrono::milliseconds(700);
 constexpr Duration kSettledCheckInterval = std::chrono::seconds(1);
 
 }  // namespace
@@ -112,6 +115,11 @@
 
 Task<void> PeerDiscovery::RunJoinLoop() {
   RetryBackoff backoff(kStoreRetryBackoff);
+  if (context_.settings.is_first_start) {
+    // Otherwise each daemon would list the contacts several times until the
+    // last one has written its entry.
+    co_await SleepFor(kFirstStartDelay);
+  }
   while (!context_.is_shutting_down) {
     // Of two daemons that start at once, the one that writes its entry later
     // finds the other. Knowing one peer is not enough: the others would become
--- a/modules/cumin_routing/target_chooser.cc
+++ b/modules/cumin_routing/target_chooser.cc
@@ -255,10 +255,12 @@
   std::array<std::vector<Target*>, 3> below_limit;
   std::vector<Target*> healthy;
   std::vector<Target*> failing;
+  bool has_near = false;
   for (Target* const it :
        TargetsOfVersion(request.service, request.version, now)) {
     Target& target = *it;
     *has_eligible = true;
+    has_near = has_near || DistanceTo(target) != Distance::kOtherRegion;
     const bool was_tried = std::find(request.tried.begin(), request.tried.end(),
                                      target.member.vm) != request.tried.end();
     if (was_tried) {
@@ -276,15 +278,20 @@
   }
   // If all targets are failing, fall back to choosing among all of them.
   std::vector<Target*>& rest = healthy.empty() ? failing : healthy;
-  if (request.is_large) {
+  if (request.is_upload && has_near) {
+    // Also when those of the own region have been tried.
+    KeepOwnRegion(rest);
+  } else if (request.is_large) {
     PreferOwnRegion(rest);
   }
   for (std::size_t i = 0; i < below_limit.size(); ++i) {
     const bool is_other_region =
         i == static_cast<std::size_t>(Distance::kOtherRegion);
     const bool is_excluded =
-        request.is_large && is_other_region && !rest.empty() &&
-        DistanceTo(*rest.front()) != Distance::kOtherRegion;
+        is_other_region &&
+        ((request.is_upload && has_near) ||
+         (request.is_large && !rest.empty() &&
+          DistanceTo(*rest.front()) != Distance::kOtherRegion));
     if (!below_limit.at(i).empty() && !is_excluded) {
       return {below_limit.at(i), false};
     }
@@ -297,13 +304,19 @@
     return DistanceTo(*it) != Distance::kOtherRegion;
   };
   if (std::any_of(candidates.begin(), candidates.end(), is_near)) {
-    candidates.erase(
-        std::remove_if(candidates.begin(), candidates.end(),
-                       [&](const Target* it) { return !is_near(it); }),
-        candidates.end());
+    KeepOwnRegion(candidates);
   }
 }
 
+void TargetChooser::KeepOwnRegion(std::vector<Target*>& candidates) const {
+  candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                  [this](const Target* it) {
+                                    return DistanceTo(*it) ==
+                                           Distance::kOtherRegion;
+                                  }),
+                   candidates.end());
+}
+
 Duration TargetChooser::ExpectedDelay(const Target& target,
                                       const ChooseRequest& request,
                                       MonoTime now) const {
--- a/modules/cumin_routing/target_chooser.h
+++ b/modules/cumin_routing/target_chooser.h
@@ -149,7 +149,10 @@
   Target* SampleByExpectedDelay(const std::vector<Target*>& candidates,
                                 const ChooseRequest& request, MonoTime now,
                                 Random& random) const;
+  /** Removes the targets of other regions, if there are others. */
   void PreferOwnRegion(std::vector<Target*>& candidates) const;
+  /** Removes the targets of other regions. */
+  void KeepOwnRegion(std::vector<Target*>& candidates) const;
 
   Locality self_;
   std::unordered_map<VmId, Target> targets_;
--- a/tests/admission/allotment_test.cc
+++ b/tests/admission/allotment_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -77,16 +78,35 @@
     AllotmentShare share;
   };
 
+  static VmId VmOf(std::size_t gate) {
+    return VmId("vm" + std::to_string(gate));
+  }
+
+  void Send(std::size_t gate, const AllotmentShare& share) {
+    answers_.push_back(Answer{now_ + kStep * kAnswerSteps, gate, share});
+  }
+
   void Exchange() {
     for (std::size_t i = 0; i < gates_.size(); ++i) {
       for (const UsageReport& it : gates_[i].TakeReports(now_)) {
         if (!is_ledger_reached_) {
           continue;
         }
-        answers_.push_back(
-            Answer{now_ + kStep * kAnswerSteps, i,
-                   ledger_->OnReport(VmId("vm" + std::to_string(i)), it,
-                                     customer_, now_)});
+        const bool was_limited = ledger_->IsLimited(it.customer);
+        const AllotmentShare share =
+            ledger_->OnReport(VmOf(i), it, customer_, now_);
+        Send(i, share);
+        reported_at_[i] = now_;
+        if (!was_limited && ledger_->IsLimited(it.customer)) {
+          for (std::size_t j = 0; j < gates_.size(); ++j) {
+            for (const auto& [vm, other] :
+                 ledger_->SharesOf(it.customer, now_)) {
+              if (vm == VmOf(j)) {
+                Send(j, other);
+              }
+            }
+          }
+        }
       }
     }
     while (!answers_.empty() && answers_.front().at <= now_) {
@@ -97,8 +117,10 @@
     if (is_ledger_reached_ && now_ >= next_spread_) {
       next_spread_ = now_ + std::chrono::seconds(1);
       for (const AllotmentShare& it : ledger_->Limited(gates_.size(), now_)) {
-        for (AllotmentGate& gate : gates_) {
-          gate.OnShare(it, customer_, now_);
+        for (std::size_t i = 0; i < gates_.size(); ++i) {
+          if (now_ - reported_at_[i] >= std::chrono::seconds(1)) {
+            Send(i, it);
+          }
         }
       }
     }
@@ -106,6 +128,7 @@
 
   Customer customer_;
   std::vector<AllotmentGate> gates_;
+  std::map<std::size_t, MonoTime> reported_at_;
   std::unique_ptr<AllotmentLedger> ledger_ =
       std::make_unique<AllotmentLedger>(kTolerance);
   std::deque<Answer> answers_;
@@ -141,13 +164,16 @@
   }
 
   void TestHotCustomerStaysInAllotment() {
-    for (const double rate : {2.0, 20.0, 185.0, 400.0}) {
-      Fleet fleet(79, rate, rate);
-      fleet.Run(std::chrono::seconds(5), rate / 1.6);
-      fleet.Run(std::chrono::seconds(10), rate / 1.6 * 7.5);
-      CPPUNIT_ASSERT_MESSAGE(
-          std::to_string(rate) + ": " + std::to_string(fleet.MostInWindow()),
-          fleet.MostInWindow() <= fleet.Allowed());
+    for (const double rate : {2.0, 20.0, 185.0, 400.0, 769.0}) {
+      for (const double factor : {2.0, 2.4, 3.0, 5.0, 7.5}) {
+        Fleet fleet(79, rate, rate);
+        fleet.Run(std::chrono::seconds(5), rate / 1.6);
+        fleet.Run(std::chrono::seconds(10), rate / 1.6 * factor);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(rate) + " x " +
+                                   std::to_string(factor) + ": " +
+                                   std::to_string(fleet.MostInWindow()),
+                               fleet.MostInWindow() <= fleet.Allowed());
+      }
     }
   }
 
