A ledger that takes over knows what to take back; a decider that is silent is passed over

The roll-out there stayed at 0 % for ten seconds, since the deciding daemon's VM was gone and not yet out of the members.

--- a/modules/cumin_admission/allotment_gate.cc
+++ b/modules/cumin_admission/allotment_gate.cc
@@ -107,8 +107,8 @@
       continue;
     }
     const Duration interval = now - usage.reported_at;
-    reports.push_back(
-        UsageReport{name, usage.offered, usage.admitted, usage.share_per_s});
+    reports.push_back(UsageReport{name, usage.offered, usage.admitted,
+                                  usage.share_per_s, usage.level});
     usage.reported_per_s = usage.offered / ToSeconds(interval);
     usage.offered = 0;
     usage.admitted = 0;
@@ -126,6 +126,7 @@
   Usage& usage = UsageOf(customer, now);
   usage.unanswered_since.reset();
   usage.demand_part = share.demand_part;
+  usage.level = share.level;
   SetShare(usage, share.rate_per_s, now);
 }
 
--- a/modules/cumin_admission/allotment_gate.h
+++ b/modules/cumin_admission/allotment_gate.h
@@ -19,10 +19,13 @@
   int admitted = 0;
   /** The share that the daemon has now; nothing without one. */
   std::optional<double> share_per_s;
+  /** AllotmentShare::level of the last share, for a ledger that takes over. */
+  double level = 0;
 
   friend bool operator==(const UsageReport& a, const UsageReport& b) {
     return a.customer == b.customer && a.offered == b.offered &&
-           a.admitted == b.admitted && a.share_per_s == b.share_per_s;
+           a.admitted == b.admitted && a.share_per_s == b.share_per_s &&
+           a.level == b.level;
   }
 };
 
@@ -34,10 +37,13 @@
   std::optional<double> rate_per_s;
   /** The daemon's part of the customer's demand, from 0 to 1. */
   double demand_part = 0;
+  /** Requests that the ledger may still admit beyond the rate; negative when it
+      has to take back. */
+  double level = 0;
 
   friend bool operator==(const AllotmentShare& a, const AllotmentShare& b) {
     return a.customer == b.customer && a.rate_per_s == b.rate_per_s &&
-           a.demand_part == b.demand_part;
+           a.demand_part == b.demand_part && a.level == b.level;
   }
 };
 
@@ -108,6 +114,7 @@
     double rate_per_s;
     double burst;
     double demand_part = 0;
+    double level = 0;
     int offered = 0;
     int admitted = 0;
     /** Requests per second in the last report. */
--- a/modules/cumin_admission/allotment_ledger.cc
+++ b/modules/cumin_admission/allotment_ledger.cc
@@ -33,8 +33,9 @@
   const auto [it, is_new] = customers_.try_emplace(customer.name);
   Account& account = it->second;
   if (is_new) {
-    // Nothing at first: the daemon that was responsible before may have
-    // admitted a burst just now.
+    // Without a burst of its own: the daemon that was responsible before may
+    // have admitted one just now.
+    account.level = std::min(0.0, report.level);
     account.created_at = now;
     account.updated_at = now;
   }
@@ -48,6 +49,7 @@
   AllotmentShare share;
   share.customer = customer.name;
   share.demand_part = PartOf(account, source, now);
+  share.level = account.level;
   if (report.share_per_s && now - account.created_at < kLearningTime) {
     share.rate_per_s = report.share_per_s;
     return share;
@@ -81,8 +83,8 @@
   for (const auto& [vm, demand] : found->second.demands) {
     const double part = PartOf(found->second, vm, now);
     shares.emplace_back(
-        vm,
-        AllotmentShare{customer, *found->second.limited_to_per_s * part, part});
+        vm, AllotmentShare{customer, *found->second.limited_to_per_s * part,
+                           part, found->second.level});
   }
   return shares;
 }
@@ -96,8 +98,8 @@
     if (is_limited) {
       const double part =
           1 / static_cast<double>(std::max<std::size_t>(1, daemons));
-      shares.push_back(
-          AllotmentShare{name, *account.limited_to_per_s * part, part});
+      shares.push_back(AllotmentShare{name, *account.limited_to_per_s * part,
+                                      part, account.level});
     }
   }
   return shares;
--- a/modules/cumin_daemon/allotment_agent.cc
+++ b/modules/cumin_daemon/allotment_agent.cc
@@ -31,6 +31,7 @@
   Json::Value value;
   value["c"] = share.customer.str();
   value["p"] = share.demand_part;
+  value["l"] = share.level;
   if (share.rate_per_s) {
     value["r"] = *share.rate_per_s;
   }
@@ -76,6 +77,7 @@
     report["c"] = it.customer.str();
     report["o"] = it.offered;
     report["a"] = it.admitted;
+    report["l"] = it.level;
     if (it.share_per_s) {
       report["r"] = *it.share_per_s;
     }
@@ -195,6 +197,7 @@
     report.customer = fields.Name<CustomerId>("c", kMaxNameBytes);
     report.offered = ReadCount(fields, "o");
     report.admitted = ReadCount(fields, "a");
+    report.level = fields.Number("l");
     if (fields.Has("r")) {
       report.share_per_s = fields.Number("r");
     }
@@ -226,6 +229,7 @@
     AllotmentShare share;
     share.customer = fields.Name<CustomerId>("c", kMaxNameBytes);
     share.demand_part = fields.Number("p");
+    share.level = fields.Number("l");
     if (fields.Has("r")) {
       share.rate_per_s = fields.Number("r");
     }
--- a/modules/cumin_daemon/rollout_agent.cc
+++ b/modules/cumin_daemon/rollout_agent.cc
@@ -21,6 +21,11 @@
 /** Delay of a watcher, for each place in its region's ranking, before it writes
     a state that the deciding daemon has not written. */
 constexpr Duration kWriteDelay = std::chrono::milliseconds(1500);
+/** Time without an answer after which the next daemon of the ranking is asked
+   to decide: sooner than a daemon that is gone leaves the members. */
+constexpr Duration kAnswerTimeout = std::chrono::milliseconds(1200);
+/** Daemons of the ranking that are asked in turn. */
+constexpr std::size_t kDeciders = 4;
 constexpr std::size_t kMaxNameBytes = 256;
 constexpr std::size_t kMaxRollouts = 64;
 constexpr std::size_t kMaxRoutes = 64;
@@ -162,10 +167,28 @@
 VmId RolloutAgent::Decider() {
   const SpreadPlan& plan = fleet_.Plan();
   const std::vector<VmId>& ranking = plan.FetcherRanking(plan.source_region());
-  return ranking.empty() ? context_.settings.vm : ranking.front();
+  return ranking.empty() ? context_.settings.vm
+                         : ranking[decider_rank_ % ranking.size()];
 }
 
-bool RolloutAgent::IsDecider() { return Decider() == context_.settings.vm; }
+bool RolloutAgent::IsDecider() {
+  const bool is_asked =
+      asked_at_ && context_.clock.Now() - *asked_at_ < kAnswerTimeout;
+  return is_asked || Decider() == context_.settings.vm;
+}
+
+void RolloutAgent::AwaitAnswer(MonoTime now) {
+  if (members_epoch_ != fleet_.members_epoch()) {
+    members_epoch_ = fleet_.members_epoch();
+    decider_rank_ = 0;
+  }
+  if (!unanswered_since_) {
+    unanswered_since_ = now;
+  } else if (now - *unanswered_since_ >= kAnswerTimeout) {
+    decider_rank_ = (decider_rank_ + 1) % kDeciders;
+    unanswered_since_ = now;
+  }
+}
 
 Duration RolloutAgent::ReportInterval() const {
   const Duration spread =
@@ -189,6 +212,7 @@
     OnReport(decider, body);
     return;
   }
+  AwaitAnswer(context_.clock.Now());
   body["o"] = EncodeRollouts();
   fleet_.SendNote(decider, kTopic, std::move(body));
 }
@@ -221,8 +245,10 @@
 void RolloutAgent::OnNote(const VmId& from, const Json::Value& body) {
   OnRollouts(body["o"]);
   if (!body.isMember("q")) {
+    unanswered_since_.reset();
     return;
   }
+  asked_at_ = context_.clock.Now();
   OnReport(from, body);
   Json::Value answer;
   answer["o"] = EncodeRollouts();
--- a/modules/cumin_daemon/rollout_agent.h
+++ b/modules/cumin_daemon/rollout_agent.h
@@ -60,6 +60,8 @@
   void OnReport(const VmId& from, const Json::Value& body);
   Json::Value MakeReport();
   bool IsDecider();
+  /** Turns to the next daemon when the one that decides does not answer. */
+  void AwaitAnswer(MonoTime now);
   VmId Decider();
   Duration ReportInterval() const;
   void WriteStates();
@@ -81,6 +83,13 @@
   std::map<ServiceId, MonoTime> unwritten_since_;
   std::map<ServiceId, bool> is_syncing_;
   MonoTime next_report_;
+  /** Place in the ranking of the daemon that is asked to decide. */
+  std::size_t decider_rank_ = 0;
+  std::uint64_t members_epoch_ = 0;
+  /** Since when reports got no answer. */
+  std::optional<MonoTime> unanswered_since_;
+  /** When another daemon last asked this one to decide. */
+  std::optional<MonoTime> asked_at_;
 };
 
 }  // namespace cumin
--- a/tests/admission/allotment_test.cc
+++ b/tests/admission/allotment_test.cc
@@ -47,6 +47,7 @@
     }
   }
 
+  /** Another daemon becomes responsible. */
   void LoseLedger() { ledger_ = std::make_unique<AllotmentLedger>(kTolerance); }
   void CutLedger() { is_ledger_reached_ = false; }
   void SetRate(double rate) { customer_.rate_per_s = rate; }
