--- a/modules/cumin_admission/allotment_gate.cc
+++ b/modules/cumin_admission/allotment_gate.cc
@@ -10,6 +10,9 @@
 /** Time for which a share may be saved up. */
 constexpr double kShareBurstSeconds = 0.5;
 constexpr double kMinShareBurst = 1;
+/** Requests of a customer that a daemon admits at once before the ledger has
+    answered. */
+constexpr double kFirstRequests = 5;
 /** Requests beyond those expected that make a report early. */
 constexpr double kEarlyReportMargin = 2;
 constexpr double kEarlyReportFactor = 1.5;
@@ -23,26 +26,31 @@
   return std::chrono::duration<double>(length).count();
 }
 
+double Count(std::size_t daemons) {
+  return static_cast<double>(std::max<std::size_t>(1, daemons));
+}
+
 double Capacity(const Customer& customer) {
   return std::max(1.0, customer.burst);
 }
 
 }  // namespace
 
-AllotmentGate::Usage::Usage(const Customer& customer, MonoTime now)
+AllotmentGate::Usage::Usage(const Customer& customer, std::size_t daemons,
+                            MonoTime now)
     : whole(customer.rate_per_s, Capacity(customer), now),
-      own(0, kMinShareBurst, now),
+      own(customer.rate_per_s / Count(daemons),
+          std::min(kFirstRequests, Capacity(customer)), now),
+      share_per_s(customer.rate_per_s / Count(daemons)),
       rate_per_s(customer.rate_per_s),
       burst(customer.burst),
-      reported_at(now) {
-  // The first share starts empty: many daemons get one at once.
-  (void)own.TryTake(now);
-}
+      reported_at(now) {}
 
 AllotmentGate::Usage& AllotmentGate::UsageOf(const Customer& customer,
+                                             std::size_t daemons,
                                              MonoTime now) {
   const auto [it, is_new] =
-      customers_.try_emplace(customer.name, customer, now);
+      customers_.try_emplace(customer.name, customer, daemons, now);
   Usage& usage = it->second;
   if (usage.rate_per_s != customer.rate_per_s ||
       usage.burst != customer.burst) {
@@ -54,18 +62,19 @@
 }
 
 std::optional<Refusal> AllotmentGate::Admit(const Customer& customer,
-                                            MonoTime now) {
+                                            std::size_t daemons, MonoTime now) {
   if (!customer.IsLimited()) {
     return std::nullopt;
   }
-  Usage& usage = UsageOf(customer, now);
+  Usage& usage = UsageOf(customer, daemons, now);
   usage.offered += 1;
   const bool is_out_of_contact =
       usage.unanswered_since &&
       now - *usage.unanswered_since >= kContactTimeout;
   if (is_out_of_contact && !usage.share_per_s) {
     SetShare(usage, usage.rate_per_s * usage.demand_part, now);
-  } else if (!is_out_of_contact && now - usage.share_at >= kShareLifetime) {
+  } else if (usage.has_answer && !is_out_of_contact &&
+             now - usage.share_at >= kShareLifetime) {
     usage.share_per_s.reset();
   }
   TokenBucket& bucket = usage.share_per_s ? usage.own : usage.whole;
@@ -94,9 +103,6 @@
   const bool has_risen =
       usage.offered > kEarlyReportFactor * expected + kEarlyReportMargin ||
       usage.share_per_s.has_value();
-  if (!usage.has_reported) {
-    return since >= kFirstReportInterval;
-  }
   return since >= (has_risen ? kEarlyReportInterval : kReportInterval);
 }
 
@@ -107,13 +113,13 @@
       continue;
     }
     const Duration interval = now - usage.reported_at;
-    reports.push_back(UsageReport{name, usage.offered, usage.admitted,
-                                  usage.share_per_s, usage.level});
+    reports.push_back(UsageReport{
+        name, usage.offered, usage.admitted,
+        usage.has_answer ? usage.share_per_s : std::nullopt, usage.level});
     usage.reported_per_s = usage.offered / ToSeconds(interval);
     usage.offered = 0;
     usage.admitted = 0;
     usage.reported_at = now;
-    usage.has_reported = true;
     if (!usage.unanswered_since) {
       usage.unanswered_since = now;
     }
@@ -122,9 +128,16 @@
 }
 
 void AllotmentGate::OnShare(const AllotmentShare& share,
-                            const Customer& customer, MonoTime now) {
-  Usage& usage = UsageOf(customer, now);
+                            const Customer& customer, std::size_t daemons,
+                            MonoTime now) {
+  Usage& usage = UsageOf(customer, daemons, now);
   usage.unanswered_since.reset();
+  if (!usage.has_answer && share.rate_per_s) {
+    // The first share starts empty: many daemons get one at once.
+    while (usage.own.TryTake(now)) {
+    }
+  }
+  usage.has_answer = true;
   usage.demand_part = share.demand_part;
   usage.level = share.level;
   SetShare(usage, share.rate_per_s, now);
--- a/modules/cumin_admission/allotment_gate.h
+++ b/modules/cumin_admission/allotment_gate.h
@@ -70,17 +70,17 @@
   /** Between two reports of a customer whose demand has risen. */
   static constexpr Duration kEarlyReportInterval =
       std::chrono::milliseconds(100);
-  /** From a customer's first request at a daemon to the first report. */
-  static constexpr Duration kFirstReportInterval =
-      std::chrono::milliseconds(300);
   /** Time without an answer of the ledger after which it counts as out of
       reach. */
   static constexpr Duration kContactTimeout = std::chrono::seconds(2);
 
-  /** Decides on one request.
+  /** Decides on one request. Until the ledger has answered for the customer,
+     the daemon keeps to an equal share of all daemons.
+      @param daemons  number of daemons of the fleet
       @returns nothing if it is admitted; otherwise a NotRun refusal with the
       time after which the customer has room again */
-  std::optional<Refusal> Admit(const Customer& customer, MonoTime now);
+  std::optional<Refusal> Admit(const Customer& customer, std::size_t daemons,
+                               MonoTime now);
 
   /** An admitted request was refused later and did not run. */
   void Refund(const CustomerId& customer);
@@ -91,7 +91,7 @@
   /** Applies a share that the ledger has given, also without a report.
       @param customer  as configured now */
   void OnShare(const AllotmentShare& share, const Customer& customer,
-               MonoTime now);
+               std::size_t daemons, MonoTime now);
 
   /** A share applies for this long, unless the ledger is out of reach. */
   static constexpr Duration kShareLifetime = std::chrono::seconds(2);
@@ -103,7 +103,7 @@
 
  private:
   struct Usage {
-    explicit Usage(const Customer& customer, MonoTime now);
+    Usage(const Customer& customer, std::size_t daemons, MonoTime now);
 
     /** The whole allotment. */
     TokenBucket whole;
@@ -119,13 +119,14 @@
     int admitted = 0;
     /** Requests per second in the last report. */
     double reported_per_s = 0;
-    bool has_reported = false;
+    /** The ledger has answered. */
+    bool has_answer = false;
     MonoTime reported_at;
     /** When the oldest report without an answer was made. */
     std::optional<MonoTime> unanswered_since;
   };
 
-  Usage& UsageOf(const Customer& customer, MonoTime now);
+  Usage& UsageOf(const Customer& customer, std::size_t daemons, MonoTime now);
   static void SetShare(Usage& usage, std::optional<double> per_s, MonoTime now);
   static bool IsReportDue(const Usage& usage, MonoTime now);
 
--- a/modules/cumin_admission/allotment_ledger.cc
+++ b/modules/cumin_admission/allotment_ledger.cc
@@ -13,6 +13,8 @@
 constexpr double kUsedTolerance = 0.3;
 /** Part of the rate that is given out even while the ledger takes back. */
 constexpr double kMinRate = 0.5;
+/** Requests of this time are not reported yet. */
+constexpr Duration kReportLag = std::chrono::milliseconds(350);
 /** Time constants of a customer's demand, and of the daemons' parts in it. */
 constexpr Duration kDemandTime = std::chrono::seconds(1);
 constexpr Duration kPartTime = std::chrono::seconds(3);
@@ -54,7 +56,8 @@
     share.rate_per_s = report.share_per_s;
     return share;
   }
-  const double left = account.level + Margin(customer);
+  const double left =
+      account.level + Margin(customer) - total * ToSeconds(kReportLag);
   const double excess = total - customer.rate_per_s;
   const bool has_room = left > 0 && excess * ToSeconds(kForesight) <= left;
   account.limited_to_per_s.reset();
--- a/modules/cumin_daemon/allotment_agent.cc
+++ b/modules/cumin_daemon/allotment_agent.cc
@@ -92,6 +92,17 @@
   }
 }
 
+std::vector<Member> AllotmentAgent::OldestMembers() const {
+  std::vector<Member> members = fleet_.Live();
+  std::sort(
+      members.begin(), members.end(), [](const Member& a, const Member& b) {
+        return a.incarnation != b.incarnation ? a.incarnation < b.incarnation
+                                              : a.vm < b.vm;
+      });
+  members.resize((members.size() + 1) / 2);
+  return members;
+}
+
 const VmId& AllotmentAgent::ResponsibleFor(const CustomerId& customer) {
   if (members_epoch_ != fleet_.members_epoch()) {
     responsible_.clear();
@@ -100,7 +111,7 @@
   const auto [it, is_new] = responsible_.try_emplace(customer);
   if (is_new) {
     std::uint64_t highest = 0;
-    for (const Member& member : fleet_.Live()) {
+    for (const Member& member : OldestMembers()) {
       const std::uint64_t hash =
           StableHash(customer.str() + "|" + member.vm.str());
       if (it->second.empty() || hash > highest) {
@@ -237,7 +248,8 @@
         context_.routes ? context_.routes->FindCustomer(share.customer)
                         : nullptr;
     if (fields.Finish() && customer != nullptr) {
-      context_.allotments.OnShare(share, *customer, context_.clock.Now());
+      context_.allotments.OnShare(share, *customer, context_.most_live_daemons,
+                                  context_.clock.Now());
     }
   }
 }
--- a/modules/cumin_daemon/allotment_agent.h
+++ b/modules/cumin_daemon/allotment_agent.h
@@ -37,6 +37,10 @@
   void OnReports(const VmId& from, const Json::Value& reports);
   void OnShares(const Json::Value& shares);
   const VmId& ResponsibleFor(const CustomerId& customer);
+  /** @returns the half of the live members that started first. Members that
+      join become known to the others at different times; the responsible daemon
+      must not move with each of them. */
+  std::vector<Member> OldestMembers() const;
 
   DaemonContext& context_;
   FleetAgent& fleet_;
--- a/modules/cumin_daemon/ingress.cc
+++ b/modules/cumin_daemon/ingress.cc
@@ -257,7 +257,7 @@
     const Customer& customer, CallLogBuffer& call_log) {
   const MonoTime now = context_.clock.Now();
   const std::optional<Refusal> refusal =
-      context_.allotments.Admit(customer, now);
+      context_.allotments.Admit(customer, context_.most_live_daemons, now);
   if (!refusal) {
     return std::nullopt;
   }
--- a/tests/admission/allotment_test.cc
+++ b/tests/admission/allotment_test.cc
@@ -38,7 +38,7 @@
       int admitted = 0;
       for (; offered_ >= 1; offered_ -= 1) {
         AllotmentGate& gate = gates_[random_.Below(gates_.size())];
-        const bool passed = !gate.Admit(customer_, now_);
+        const bool passed = !gate.Admit(customer_, gates_.size(), now_);
         admitted += passed ? 1 : 0;
         refused_ += passed ? 0 : 1;
       }
@@ -49,6 +49,11 @@
 
   /** Another daemon becomes responsible. */
   void LoseLedger() { ledger_ = std::make_unique<AllotmentLedger>(kTolerance); }
+  void Restart() {
+    LoseLedger();
+    gates_ = std::vector<AllotmentGate>(gates_.size());
+    answers_.clear();
+  }
   void CutLedger() { is_ledger_reached_ = false; }
   void SetRate(double rate) { customer_.rate_per_s = rate; }
 
@@ -112,7 +117,7 @@
     }
     while (!answers_.empty() && answers_.front().at <= now_) {
       gates_[answers_.front().gate].OnShare(answers_.front().share, customer_,
-                                            now_);
+                                            gates_.size(), now_);
       answers_.pop_front();
     }
     if (is_ledger_reached_ && now_ >= next_spread_) {
@@ -150,6 +155,7 @@
   CPPUNIT_TEST(TestHotCustomerGetsItsAllotment);
   CPPUNIT_TEST(TestLossOfLedgerGivesNoSecondBurst);
   CPPUNIT_TEST(TestIsolatedDaemonsKeepTheirShares);
+  CPPUNIT_TEST(TestRestartOfAllDaemonsGivesNoBurst);
   CPPUNIT_TEST(TestLoweredLimitBinds);
   CPPUNIT_TEST(TestRefusalTellsWhenToReturn);
   CPPUNIT_TEST_SUITE_END();
@@ -207,6 +213,19 @@
                            fleet.MostInWindow() <= fleet.Allowed());
   }
 
+  // Seen on frio-gye-grown, trouble-3: all daemons are killed at once while a
+  // customer is above its allotment, and its callers come back together.
+  void TestRestartOfAllDaemonsGivesNoBurst() {
+    Fleet fleet(79, 769, 769);
+    fleet.Run(std::chrono::seconds(3), 481);
+    fleet.Run(std::chrono::seconds(5), 1400);
+    fleet.Restart();
+    fleet.Run(std::chrono::milliseconds(500), 0);
+    fleet.Run(std::chrono::seconds(5), 2500);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.MostInWindow()),
+                           fleet.MostInWindow() <= fleet.Allowed());
+  }
+
   void TestLoweredLimitBinds() {
     Fleet fleet(79, 400, 40);
     fleet.Run(std::chrono::seconds(5), 250);
@@ -225,16 +244,16 @@
     customer.rate_per_s = 1;
     customer.burst = 2;
     const MonoTime now{std::chrono::hours(1)};
-    CPPUNIT_ASSERT(!gate.Admit(customer, now));
-    CPPUNIT_ASSERT(!gate.Admit(customer, now));
-    const std::optional<Refusal> refusal = gate.Admit(customer, now);
+    CPPUNIT_ASSERT(!gate.Admit(customer, 1, now));
+    CPPUNIT_ASSERT(!gate.Admit(customer, 1, now));
+    const std::optional<Refusal> refusal = gate.Admit(customer, 1, now);
     CPPUNIT_ASSERT(refusal);
     CPPUNIT_ASSERT_EQUAL(Verdict::kNotRun, refusal->verdict);
     CPPUNIT_ASSERT(refusal->retry_after > std::chrono::milliseconds(900));
-    CPPUNIT_ASSERT(!gate.Admit(customer, now + refusal->retry_after));
+    CPPUNIT_ASSERT(!gate.Admit(customer, 1, now + refusal->retry_after));
     Customer unlimited;
     unlimited.name = CustomerId("u");
-    CPPUNIT_ASSERT(!gate.Admit(unlimited, now));
+    CPPUNIT_ASSERT(!gate.Admit(unlimited, 1, now));
   }
 };
 
--- a/tests/config/customer_test.cc
+++ b/tests/config/customer_test.cc
@@ -36,7 +36,7 @@
  public:
   void TestInvalidCustomersNameFieldAndReason() {
     const Customer good = MakeCustomer("a", "k1");
-    const auto expect_invalid = [&](Customer bad, const char* field) {
+    const auto expect_invalid = [&](const Customer& bad, const char* field) {
       const Result<void> checked = CheckCustomers({good, bad}, "test");
       CPPUNIT_ASSERT_MESSAGE(field, !checked);
       CPPUNIT_ASSERT_MESSAGE(
