--- a/modules/cumin_admission/allotment_gate.cc
+++ b/modules/cumin_admission/allotment_gate.cc
@@ -11,8 +11,10 @@
 constexpr double kShareBurstSeconds = 0.5;
 constexpr double kMinShareBurst = 1;
 /** Requests of a customer that a daemon admits at once before the ledger has
-    answered. */
-constexpr double kFirstRequests = 5;
+    answered: its part of those of kFirstSeconds, within these limits. */
+constexpr double kMinFirstRequests = 2;
+constexpr double kMaxFirstRequests = 8;
+constexpr double kFirstSeconds = 3;
 /** Requests beyond those expected that make a report early. */
 constexpr double kEarlyReportMargin = 2;
 constexpr double kEarlyReportFactor = 1.5;
@@ -34,13 +36,20 @@
   return std::max(1.0, customer.burst);
 }
 
+double FirstRequests(const Customer& customer, std::size_t daemons) {
+  return std::min(
+      Capacity(customer),
+      std::clamp(kFirstSeconds * customer.rate_per_s / Count(daemons),
+                 kMinFirstRequests, kMaxFirstRequests));
+}
+
 }  // namespace
 
 AllotmentGate::Usage::Usage(const Customer& customer, std::size_t daemons,
                             MonoTime now)
     : whole(customer.rate_per_s, Capacity(customer), now),
       own(customer.rate_per_s / Count(daemons),
-          std::min(kFirstRequests, Capacity(customer)), now),
+          FirstRequests(customer, daemons), now),
       share_per_s(customer.rate_per_s / Count(daemons)),
       rate_per_s(customer.rate_per_s),
       burst(customer.burst),
@@ -113,9 +122,8 @@
       continue;
     }
     const Duration interval = now - usage.reported_at;
-    reports.push_back(UsageReport{
-        name, usage.offered, usage.admitted,
-        usage.has_answer ? usage.share_per_s : std::nullopt, usage.level});
+    reports.push_back(
+        UsageReport{name, usage.offered, usage.admitted, usage.level});
     usage.reported_per_s = usage.offered / ToSeconds(interval);
     usage.offered = 0;
     usage.admitted = 0;
@@ -132,6 +140,10 @@
                             MonoTime now) {
   Usage& usage = UsageOf(customer, daemons, now);
   usage.unanswered_since.reset();
+  if (share.is_unchanged) {
+    usage.share_at = now;
+    return;
+  }
   if (!usage.has_answer && share.rate_per_s) {
     // The first share starts empty: many daemons get one at once.
     while (usage.own.TryTake(now)) {
--- a/modules/cumin_admission/allotment_gate.h
+++ b/modules/cumin_admission/allotment_gate.h
@@ -17,15 +17,12 @@
       refused later. */
   int offered = 0;
   int admitted = 0;
-  /** The share that the daemon has now; nothing without one. */
-  std::optional<double> share_per_s;
   /** AllotmentShare::level of the last share, for a ledger that takes over. */
   double level = 0;
 
   friend bool operator==(const UsageReport& a, const UsageReport& b) {
     return a.customer == b.customer && a.offered == b.offered &&
-           a.admitted == b.admitted && a.share_per_s == b.share_per_s &&
-           a.level == b.level;
+           a.admitted == b.admitted && a.level == b.level;
   }
 };
 
@@ -40,10 +37,13 @@
   /** Requests that the ledger may still admit beyond the rate; negative when it
       has to take back. */
   double level = 0;
+  /** The ledger does not know enough yet; the daemon goes on as before. */
+  bool is_unchanged = false;
 
   friend bool operator==(const AllotmentShare& a, const AllotmentShare& b) {
     return a.customer == b.customer && a.rate_per_s == b.rate_per_s &&
-           a.demand_part == b.demand_part && a.level == b.level;
+           a.is_unchanged == b.is_unchanged && a.demand_part == b.demand_part &&
+           a.level == b.level;
   }
 };
 
--- a/modules/cumin_admission/allotment_ledger.cc
+++ b/modules/cumin_admission/allotment_ledger.cc
@@ -52,8 +52,8 @@
   share.customer = customer.name;
   share.demand_part = PartOf(account, source, now);
   share.level = account.level;
-  if (report.share_per_s && now - account.created_at < kLearningTime) {
-    share.rate_per_s = report.share_per_s;
+  if (now - account.created_at < kLearningTime) {
+    share.is_unchanged = true;
     return share;
   }
   const double left =
--- a/modules/cumin_admission/allotment_ledger.h
+++ b/modules/cumin_admission/allotment_ledger.h
@@ -40,8 +40,9 @@
       time: several reports, and the way there and back. */
   static constexpr Duration kForesight = std::chrono::milliseconds(1000);
   /** A new ledger leaves the shares as they are for this time, until it knows
-     the demand. */
-  static constexpr Duration kLearningTime = std::chrono::milliseconds(1200);
+     the demand. After a restart of all daemons they know one another by then,
+     and agree on the responsible daemon. */
+  static constexpr Duration kLearningTime = std::chrono::milliseconds(2500);
   /** Time over which the ledger spends what is left of the burst, and takes
       back what was admitted beyond the allotment. */
   static constexpr Duration kSettleTime = std::chrono::seconds(2);
--- a/modules/cumin_daemon/allotment_agent.cc
+++ b/modules/cumin_daemon/allotment_agent.cc
@@ -32,6 +32,9 @@
   value["c"] = share.customer.str();
   value["p"] = share.demand_part;
   value["l"] = share.level;
+  if (share.is_unchanged) {
+    value["k"] = true;
+  }
   if (share.rate_per_s) {
     value["r"] = *share.rate_per_s;
   }
@@ -78,9 +81,6 @@
     report["o"] = it.offered;
     report["a"] = it.admitted;
     report["l"] = it.level;
-    if (it.share_per_s) {
-      report["r"] = *it.share_per_s;
-    }
     notes[ResponsibleFor(it.customer)]["u"].append(std::move(report));
   }
   for (auto& [vm, note] : notes) {
@@ -209,9 +209,6 @@
     report.offered = ReadCount(fields, "o");
     report.admitted = ReadCount(fields, "a");
     report.level = fields.Number("l");
-    if (fields.Has("r")) {
-      report.share_per_s = fields.Number("r");
-    }
     const Customer* const customer =
         context_.routes->FindCustomer(report.customer);
     if (!fields.Finish() || customer == nullptr || !customer->IsLimited()) {
@@ -241,6 +238,7 @@
     share.customer = fields.Name<CustomerId>("c", kMaxNameBytes);
     share.demand_part = fields.Number("p");
     share.level = fields.Number("l");
+    share.is_unchanged = fields.Has("k") && fields.Bool("k");
     if (fields.Has("r")) {
       share.rate_per_s = fields.Number("r");
     }
