--- a/modules/cumin_admission/allotment_gate.cc
+++ b/modules/cumin_admission/allotment_gate.cc
@@ -13,7 +13,7 @@
 /** Requests of a customer that a daemon admits at once before the ledger has
     answered: its part of those of kFirstSeconds, within these limits. */
 constexpr double kMinFirstRequests = 2;
-constexpr double kMaxFirstRequests = 8;
+constexpr double kMaxFirstRequests = 4;
 constexpr double kFirstSeconds = 3;
 /** Requests beyond those expected that make a report early. */
 constexpr double kEarlyReportMargin = 2;
@@ -106,7 +106,8 @@
 bool AllotmentGate::IsReportDue(const Usage& usage, MonoTime now) {
   const Duration since = now - usage.reported_at;
   if (usage.offered == 0 && usage.admitted == 0) {
-    return false;
+    // Asks again whether the ledger knows more.
+    return !usage.has_answer && since >= kReportInterval / 2;
   }
   const double expected = usage.reported_per_s * ToSeconds(since);
   const bool has_risen =
