--- a/modules/cumin_daemon/cumin_daemon.h
+++ b/modules/cumin_daemon/cumin_daemon.h
@@ -8,7 +8,10 @@
     between daemons, and `TargetDispatcher` dispatches them to the target.
     `LinkScheduler` schedules large responses to peers on the VM's link.
     `FleetAgent`, `ConfigAgent` and `PeerDiscovery` maintain the member table,
-    the routes and the registration in the store. All of them share one
+    the routes and the registration in the store. `FreshnessAgent` dates the
+    routes, `AllotmentAgent` adds up what customers use, `RolloutAgent` rolls
+    out versions of the targets, and `InboundAgent` asks for room on the links
+    of their VMs; they send notes through `FleetAgent`. All of them share one
     `DaemonContext`; `MeshDaemon` starts and stops them. `EventLog` records
     individual calls, `MeshMetrics` aggregates them.
 
