--- a/modules/cumin_daemon/freshness_agent.cc
+++ b/modules/cumin_daemon/freshness_agent.cc
@@ -20,7 +20,7 @@
 /** Age at which the store is asked directly, and the interval. */
 constexpr Duration kStoreAskAge = std::chrono::milliseconds(3000);
 constexpr Duration kStoreAskInterval = std::chrono::milliseconds(1000);
-/** A watcher with this age is not asked by anybody in vain. */
+/** A question without an answer is forgotten after this time. */
 constexpr Duration kAnswerLifetime = std::chrono::seconds(3);
 /** Daemons of the region's ranking that are likely to watch the store. */
 constexpr std::size_t kLikelyWatchers = 6;
