--- a/review/rig-2/rig.cc
+++ b/review/rig-2/rig.cc
@@ -28,6 +28,8 @@
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
 constexpr int kPreconditionFailed = 412;
 constexpr int kBacklog = 128;
 constexpr std::size_t kReadBytes = 65536;
@@ -153,7 +155,6 @@
   Message message;
   message.status = status;
   message.headers.emplace_back("Content-Type", "application/json");
-  message.headers.emplace_back("Store-Era", "1");
   message.body = Json::writeString(builder, body);
   return message;
 }
@@ -411,8 +412,12 @@
 }
 
 Store::Store(const std::string& ip) {
-  server_ = std::make_unique<Server>(
-      Address{ip, 0}, [this](const Message& it) { return Handle(it); });
+  server_ = std::make_unique<Server>(Address{ip, 0}, [this](const Message& it) {
+    Message answer = Handle(it);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    answer.headers.emplace_back("Store-Era", std::to_string(era_));
+    return answer;
+  });
 }
 
 void Store::Put(const std::string& key, const std::string& value) {
@@ -420,6 +425,34 @@
   SetKey(key, ToBase64(value), 0);
 }
 
+void Store::TakeCopy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  copy_ = items_;
+  copy_revision_ = revision_;
+}
+
+void Store::GoAway() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  is_away_ = true;
+  changed_.notify_all();
+}
+
+void Store::ComeBackFromCopy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  is_away_ = false;
+  era_ += 1;
+  items_.clear();
+  for (const auto& [key, item] : copy_) {
+    if (item.lease == 0) {
+      items_[key] = item;
+    }
+  }
+  changes_.clear();
+  leases_.clear();
+  revision_ = copy_revision_;
+  first_revision_ = copy_revision_;
+}
+
 void Store::SetKey(const std::string& key, const std::string& base64,
                    std::uint64_t lease) {
   revision_ += 1;
@@ -466,6 +499,9 @@
     return Watch(request.target);
   }
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (is_away_) {
+    return Answer(kUnavailable, Json::Value(Json::objectValue));
+  }
   ExpireLeases();
   const auto row = [](const std::string& key, const Item& item) {
     Json::Value out;
@@ -519,6 +555,12 @@
   Json::Value body;
   body["events"] = Json::Value(Json::arrayValue);
   while (true) {
+    if (is_away_) {
+      return Answer(kUnavailable, Json::Value(Json::objectValue));
+    }
+    if (after < first_revision_ || after > revision_) {
+      return Answer(kGone, Json::Value(Json::objectValue));
+    }
     std::map<std::string, std::uint64_t> last;
     for (auto it = changes_.upper_bound(after); it != changes_.end(); ++it) {
       if (it->second.rfind(prefix, 0) == 0) {
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -125,6 +125,14 @@
   /** Writes a key as the operator does. */
   void Put(const std::string& key, const std::string& value);
 
+  /** Keeps a copy of the items as they are now. */
+  void TakeCopy();
+  /** From now on each call gets 503 and has no effect. */
+  void GoAway();
+  /** Comes back from the copy: what was written since is gone, leases too, and
+      the era rises by one. */
+  void ComeBackFromCopy();
+
   const Address& address() const { return server_->address(); }
 
  private:
@@ -154,6 +162,11 @@
   /** Keys by the revision that changed them. */
   std::map<std::uint64_t, std::string> changes_;
   std::map<std::uint64_t, Lease> leases_;
+  std::map<std::string, Item> copy_;
+  std::uint64_t copy_revision_ = 1;
+  std::uint64_t first_revision_ = 0;
+  std::uint64_t era_ = 1;
+  bool is_away_ = false;
   std::uint64_t revision_ = 1;
   std::uint64_t next_lease_ = 1;
   std::unique_ptr<Server> server_;
